--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -260,6 +260,29 @@
   std::int64_t queuedMs = 0; // Predicted time to drain the engine's queue.
 };
 
+// What one entry has placed on one target.
+struct TargetShare
+{
+  std::string instance;
+  std::uint32_t running = 0;
+  std::uint64_t memory = 0; // Tokens of KV cache.
+  double readMs = 0;        // Reading that is left, in milliseconds.
+};
+
+// Entry to entries: my load where it has changed, or the whole of it.
+struct EntryLoad
+{
+  std::vector<TargetShare> shares;
+  bool whole = false;
+  std::uint64_t version = 0; // Of the sender's configuration.
+};
+
+// Entry to entries: this request broke off where it ran.
+struct BreakNotice
+{
+  std::uint64_t fingerprint = 0;
+};
+
 using Message = std::variant<ProbeRequest,
                              ProbeReply,
                              Start,
@@ -281,14 +304,16 @@
                              SpanPut,
                              SpanHeld,
                              SpanDone,
-                             SpanMoved>;
+                             SpanMoved,
+                             EntryLoad,
+                             BreakNotice>;
 
 // The message names in variant order, used on the wire, in metrics and in dumps.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
   "probe",     "probe-reply", "start",     "refused",   "chunk",      "finished",
   "cancel",    "ping",        "pong",      "leaving",   "suspect",    "cleared",
   "rules-ask", "rules-tell",  "load",      "hold-ask",  "hold-reply", "hold-release",
-  "span-put",  "span-held",   "span-done", "span-moved"
+  "span-put",  "span-held",   "span-done", "span-moved", "entry-load", "break"
 };
 
 // A message with its addresses.
--- a/src/adapters/EngineClient.h
+++ b/src/adapters/EngineClient.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/SidecarReducer.h"
 
 namespace sycamorepost {
--- a/src/adapters/LogClient.h
+++ b/src/adapters/LogClient.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/SidecarReducer.h"
 
 namespace sycamorepost {
--- a/src/adapters/ServiceClient.h
+++ b/src/adapters/ServiceClient.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/SidecarReducer.h"
 
 namespace sycamorepost {
--- a/src/adapters/VmList.h
+++ b/src/adapters/VmList.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/Types.h"
 
 namespace sycamorepost {
--- /dev/null
+++ b/src/core/forward/EngineEstimate.cpp
@@ -0,0 +1,25 @@
+#include "sycamorepost/forward/EngineEstimate.h"
+
+namespace sycamorepost {
+
+double
+EstimateReadMs(const EngineTraits& aTraits, double aPromptTokens)
+{
+  static constexpr double kMillion = 1e6;
+  const double pairs = aPromptTokens * aPromptTokens / 2;
+  return aPromptTokens / aTraits.readTokensPerMs + pairs / kMillion * aTraits.readMsPerMillionPairs;
+}
+
+double
+EstimatePassMs(const EngineTraits& aTraits, double aWriters, double aContextTokens)
+{
+  if (aWriters <= 0) {
+    return 0;
+  }
+  static constexpr double kThousand = 1e3;
+  const double step = aTraits.stepMs + aWriters * aTraits.stepMsPerSequence +
+                      aContextTokens / kThousand * aTraits.stepMsPerThousand;
+  return step * aTraits.stepsPerPass;
+}
+
+} // namespace sycamorepost
--- /dev/null
+++ b/src/core/forward/EventStream.cpp
@@ -0,0 +1,53 @@
+#include "sycamorepost/forward/EventStream.h"
+
+#include "sycamorepost/internal/Text.h"
+
+namespace sycamorepost {
+
+namespace {
+
+// Returns the value of an event's id line, if it has one.
+std::optional<std::uint64_t>
+FindId(std::string_view aEvent)
+{
+  static constexpr std::string_view kField = "id:";
+  for (const std::string_view line : internal::SplitLines(aEvent)) {
+    if (line.starts_with(kField)) {
+      return internal::ParseNumber<std::uint64_t>(internal::Trim(line.substr(kField.size())));
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns the offset after the first empty line, or nothing when there is none yet.
+std::optional<std::size_t>
+EndOfEvent(std::string_view aText, std::size_t aFrom)
+{
+  const std::size_t plain = aText.find("\n\n", aFrom);
+  const std::size_t carriage = aText.find("\n\r\n", aFrom);
+  if (plain == std::string_view::npos && carriage == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return plain < carriage ? plain + 2 : carriage + 3;
+}
+
+} // namespace
+
+std::vector<StreamEvent>
+EventStreamReader::Add(std::string_view aBytes)
+{
+  this->rest.append(aBytes);
+  std::vector<StreamEvent> events;
+  std::size_t from = 0;
+  while (const auto end = EndOfEvent(this->rest, from)) {
+    StreamEvent event;
+    event.bytes = this->rest.substr(from, *end - from);
+    event.id = FindId(event.bytes);
+    events.push_back(std::move(event));
+    from = *end;
+  }
+  this->rest.erase(0, from);
+  return events;
+}
+
+} // namespace sycamorepost
--- /dev/null
+++ b/src/core/forward/LoadBook.cpp
@@ -0,0 +1,196 @@
+#include "sycamorepost/forward/LoadBook.h"
+
+#include <algorithm>
+
+namespace sycamorepost {
+
+namespace {
+
+// A peer repeats its whole load every second, so after three it is gone or cut off.
+constexpr Duration kPeerSilence = std::chrono::seconds(3);
+
+// The weight of the newest exchange: about the last five decide.
+constexpr double kFailureWeight = 0.2;
+
+// The first pause after a failure is about a round trip with one retransmission; the longest is
+// how soon a restarted target should be found again.
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(2);
+constexpr std::uint32_t kMostDoublings = 3;
+
+// Failures of one target in a row before it is avoided: one may be the request's own fault.
+constexpr std::uint32_t kFailuresToAvoid = 2;
+
+Duration
+FromMs(double aMs)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+}
+
+} // namespace
+
+double
+TargetLoad::ReadMs(Instant aNow) const
+{
+  return this->readUntil <= aNow
+           ? 0
+           : std::chrono::duration<double, std::milli>(this->readUntil - aNow).count();
+}
+
+void
+LoadBook::Place(const PlacedWork& aWork, Instant aNow)
+{
+  TargetLoad& load = this->own[aWork.instance];
+  load.running += aWork.writes ? 1 : 0;
+  load.memory += aWork.memory;
+  load.readUntil = std::max(load.readUntil, aNow) + FromMs(aWork.readMs);
+  this->changed.insert(aWork.instance);
+}
+
+void
+LoadBook::Remove(const PlacedWork& aWork, bool aWasRead, Instant aNow)
+{
+  const auto found = this->own.find(aWork.instance);
+  if (found == this->own.end()) {
+    return;
+  }
+  TargetLoad& load = found->second;
+  load.running -= aWork.writes && load.running > 0 ? 1 : 0;
+  load.memory -= std::min(load.memory, aWork.memory);
+  if (!aWasRead) {
+    load.readUntil = std::max(aNow, load.readUntil - FromMs(aWork.readMs));
+  }
+  this->changed.insert(aWork.instance);
+}
+
+void
+LoadBook::TakeTold(const std::string& aPeer, const std::vector<LoadTold>& aLoads, Instant aNow)
+{
+  PeerLoads& peer = this->peers[aPeer];
+  peer.heardAt = aNow;
+  for (const LoadTold& told : aLoads) {
+    if (told.running == 0 && told.memory == 0 && told.readMs <= 0) {
+      peer.loads.erase(told.instance);
+    } else {
+      peer.loads[told.instance] = { told.running, told.memory, aNow + FromMs(told.readMs) };
+    }
+  }
+}
+
+void
+LoadBook::ForgetSilentPeers(Instant aNow)
+{
+  std::erase_if(this->peers,
+                [aNow](const auto& aPeer) { return aPeer.second.heardAt + kPeerSilence < aNow; });
+}
+
+std::vector<LoadTold>
+LoadBook::TakeChanges(Instant aNow)
+{
+  std::vector<LoadTold> told;
+  for (const std::string& instance : this->changed) {
+    const TargetLoad& load = this->own[instance];
+    told.push_back({ instance, load.running, load.memory, load.ReadMs(aNow) });
+    if (load.Idle(aNow) && load.memory == 0) {
+      this->own.erase(instance);
+    }
+  }
+  this->changed.clear();
+  return told;
+}
+
+std::vector<LoadTold>
+LoadBook::Snapshot(Instant aNow) const
+{
+  std::vector<LoadTold> told;
+  for (const auto& [instance, load] : this->own) {
+    told.push_back({ instance, load.running, load.memory, load.ReadMs(aNow) });
+  }
+  return told;
+}
+
+TargetLoad
+LoadBook::LoadOf(const std::string& aInstance, Instant aNow) const
+{
+  TargetLoad sum;
+  double readMs = 0;
+  const auto add = [&](const std::map<std::string, TargetLoad>& aLoads) {
+    const auto found = aLoads.find(aInstance);
+    if (found != aLoads.end()) {
+      sum.running += found->second.running;
+      sum.memory += found->second.memory;
+      readMs += found->second.ReadMs(aNow);
+    }
+  };
+  add(this->own);
+  for (const auto& [name, peer] : this->peers) {
+    add(peer.loads);
+  }
+  sum.readUntil = aNow + FromMs(readMs);
+  return sum;
+}
+
+void
+LoadBook::NoteSuccess(const std::string& aInstance)
+{
+  const auto found = this->health.find(aInstance);
+  if (found != this->health.end()) {
+    found->second.failureShare *= 1 - kFailureWeight;
+    found->second.failuresInARow = 0;
+    found->second.avoidUntil = {};
+  }
+}
+
+void
+LoadBook::NoteFailure(const std::string& aInstance, Instant aNow)
+{
+  Health& health = this->health[aInstance];
+  health.failureShare += kFailureWeight * (1 - health.failureShare);
+  ++health.failuresInARow;
+  if (health.failuresInARow >= kFailuresToAvoid) {
+    this->Avoid(health, aNow);
+  }
+}
+
+void
+LoadBook::NoteUnreachable(const std::string& aInstance, Instant aNow)
+{
+  Health& health = this->health[aInstance];
+  health.failureShare += kFailureWeight * (1 - health.failureShare);
+  ++health.failuresInARow;
+  this->Avoid(health, aNow);
+}
+
+void
+LoadBook::Avoid(Health& aHealth, Instant aNow)
+{
+  const std::uint32_t doublings = std::min(aHealth.failuresInARow - 1, kMostDoublings);
+  aHealth.avoidUntil = aNow + std::min(kLongestAvoidance, kFirstAvoidance * (1U << doublings));
+}
+
+bool
+LoadBook::Suspected(const std::string& aInstance, Instant aNow) const
+{
+  const auto found = this->health.find(aInstance);
+  return found != this->health.end() && found->second.avoidUntil > aNow;
+}
+
+double
+LoadBook::FailureShare(const std::string& aInstance) const
+{
+  const auto found = this->health.find(aInstance);
+  return found == this->health.end() ? 0 : found->second.failureShare;
+}
+
+void
+LoadBook::Forget(const std::string& aInstance)
+{
+  this->own.erase(aInstance);
+  this->health.erase(aInstance);
+  this->changed.erase(aInstance);
+  for (auto& [name, peer] : this->peers) {
+    peer.loads.erase(aInstance);
+  }
+}
+
+} // namespace sycamorepost
--- /dev/null
+++ b/src/core/forward/TargetDirectory.cpp
@@ -0,0 +1,99 @@
+#include "sycamorepost/forward/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace sycamorepost {
+
+namespace {
+
+// Targets that live register again within two seconds of the store's return; the rest is for the
+// way of the record to this process.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
+
+} // namespace
+
+bool
+TargetDirectory::Apply(const RegistrationChange& aChange, Instant aNow)
+{
+  if (!aChange.target) {
+    return this->Lapse(aChange.instance, aNow);
+  }
+  this->lapsedUntil.erase(aChange.instance);
+  const auto found = this->targets.find(aChange.instance);
+  if (found != this->targets.end() && found->second == *aChange.target) {
+    return false;
+  }
+  this->targets[aChange.instance] = *aChange.target;
+  return true;
+}
+
+bool
+TargetDirectory::ApplyListing(const std::vector<RegisteredTarget>& aTargets, Instant aNow)
+{
+  bool changed = false;
+  std::vector<std::string> missing;
+  for (const auto& [instance, target] : this->targets) {
+    const bool listed =
+      std::any_of(aTargets.begin(), aTargets.end(), [&](const RegisteredTarget& aTarget) {
+        return aTarget.instance == instance;
+      });
+    if (!listed) {
+      missing.push_back(instance);
+    }
+  }
+  for (const RegisteredTarget& target : aTargets) {
+    changed = this->Apply({ target.instance, target }, aNow) || changed;
+  }
+  for (const std::string& instance : missing) {
+    changed = this->Lapse(instance, aNow) || changed;
+  }
+  return changed;
+}
+
+void
+TargetDirectory::NoteStoreReached(Instant aNow)
+{
+  if (!this->storeLost) {
+    return;
+  }
+  this->storeLost = false;
+  this->reachedAt = aNow;
+  for (auto& [instance, until] : this->lapsedUntil) {
+    until = std::min(until, aNow + kReturnTime);
+  }
+}
+
+bool
+TargetDirectory::Lapse(const std::string& aInstance, Instant aNow)
+{
+  const auto found = this->targets.find(aInstance);
+  if (found == this->targets.end() || this->lapsedUntil.contains(aInstance)) {
+    return false;
+  }
+  const bool afterOutage =
+    this->storeLost || (this->reachedAt != Instant() && aNow < this->reachedAt + kReturnTime);
+  // One that had said that it leaves is gone for good.
+  if (!afterOutage || found->second.draining) {
+    this->targets.erase(found);
+    return true;
+  }
+  this->lapsedUntil[aInstance] = this->storeLost ? Instant::max() : this->reachedAt + kReturnTime;
+  return false;
+}
+
+bool
+TargetDirectory::Expire(Instant aNow)
+{
+  bool changed = false;
+  for (auto lapsed = this->lapsedUntil.begin(); lapsed != this->lapsedUntil.end();) {
+    if (lapsed->second > aNow) {
+      ++lapsed;
+      continue;
+    }
+    changed = this->targets.erase(lapsed->first) > 0 || changed;
+    lapsed = this->lapsedUntil.erase(lapsed);
+  }
+  return changed;
+}
+
+} // namespace sycamorepost
--- a/src/load/LoadRunner.h
+++ b/src/load/LoadRunner.h
@@ -7,7 +7,7 @@
 #include <random>
 
 #include "load/LoadPlan.h"
-#include "runtime/Http.h"
+#include "net/Http.h"
 
 namespace sycamorepost::load {
 
--- a/src/runtime/Http.h
+++ b/src/net/Http.h
@@ -1,8 +1,8 @@
 // Offers the HTTP server and client on which callers, operators, targets and the platform are met.
 // Every read and write has a deadline, and no connection is used for a second request by the
 // client, so a connection that has gone silent cannot hold anything for longer than its deadline.
-#ifndef SYCAMOREPOST_RUNTIME_HTTP_H_
-#define SYCAMOREPOST_RUNTIME_HTTP_H_
+#ifndef SYCAMOREPOST_NET_HTTP_H_
+#define SYCAMOREPOST_NET_HTTP_H_
 
 #include <functional>
 #include <map>
@@ -54,10 +54,14 @@
 class HttpExchange
 {
 public:
-  HttpExchange(beast::tcp_stream& aStream, bool aKeepAlive, Duration aWriteBound)
+  HttpExchange(beast::tcp_stream& aStream,
+               bool aKeepAlive,
+               Duration aWriteBound,
+               const bool* aClosing = nullptr)
     : stream(aStream)
     , keepAlive(aKeepAlive)
     , writeBound(aWriteBound)
+    , closing(aClosing)
   {
   }
 
@@ -82,9 +86,13 @@
   bool KeepAlive() const { return this->keepAlive; }
 
 private:
+  // Decides, as the head goes out, whether the connection is kept.
+  bool DecideKeepAlive();
+
   beast::tcp_stream& stream;
   bool keepAlive;
   Duration writeBound;
+  const bool* closing; // The server is closing its connections; null when it never does.
 };
 
 // What the server allows.
@@ -93,9 +101,10 @@
   std::uint32_t headerBytes = 16 * 1024;
   std::uint64_t bodyBytes = 16 * 1024 * 1024;
   std::size_t connections = 4096;
-  Duration readBound = std::chrono::seconds(30);  // For one whole request to arrive.
-  Duration idleBound = std::chrono::seconds(60);  // Between requests.
-  Duration writeBound = std::chrono::seconds(30); // For one piece to be taken by the caller.
+  Duration headerBound = std::chrono::seconds(30); // For the header of a request to arrive.
+  Duration readBound = std::chrono::seconds(30);   // For its body to arrive.
+  Duration idleBound = std::chrono::seconds(60);   // Between requests.
+  Duration writeBound = std::chrono::seconds(30);  // For one piece to be taken by the caller.
 };
 
 using HttpHandler = std::function<asio::awaitable<void>(HttpRequest, HttpExchange&)>;
@@ -109,6 +118,12 @@
 public:
   HttpServer(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler);
 
+  // Changes what is allowed, from the next request on.
+  void SetLimits(const HttpLimits& aLimits) { this->limits = aLimits; }
+
+  // Has the answers to the requests in flight close their connections.
+  void CloseAfterAnswers() { this->closing = true; }
+
   // Starts to listen; on failure returns false and sets the reason.
   bool Listen(const tcp::endpoint& aEndpoint, std::string& aReason);
 
@@ -136,6 +151,7 @@
   std::size_t connections = 0;
   std::size_t active = 0;
   bool stopping = false;
+  bool closing = false;
 };
 
 // ---- Client ----
@@ -149,8 +165,13 @@
   std::vector<Field> fields;
   SharedBody body;
   Duration timeout = std::chrono::seconds(5);
+  // A VM that is there answers in milliseconds; this bears one lost packet.
+  Duration connectTimeout = std::chrono::seconds(2);
 };
 
+// A request as it is written to the connection.
+using HttpWireRequest = http::request<http::span_body<const char>>;
+
 // How far a request came.
 enum class HttpStage
 {
@@ -205,6 +226,9 @@
   // Returns whether the last read failed because nothing came within its bound.
   bool TimedOut() const { return this->timedOut; }
 
+  // Returns why the last read failed.
+  const std::string& Error() const { return this->error; }
+
   // Closes the connection; a waiting read ends.
   void Close();
 
@@ -214,8 +238,9 @@
   http::response_parser<http::string_body> parser;
   bool complete = false;
   bool timedOut = false;
+  std::string error;
 };
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_RUNTIME_HTTP_H_
+#endif // SYCAMOREPOST_NET_HTTP_H_
--- a/src/runtime/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -2,7 +2,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 
 namespace sycamorepost {
 
@@ -10,20 +10,19 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-// The longest that a connection may take: a VM that is there answers in milliseconds.
-constexpr Duration kConnectBound = std::chrono::seconds(2);
-
-http::request<http::span_body<const char>>
+HttpWireRequest
 MakeRequest(const HttpCall& aCall)
 {
-  http::request<http::span_body<const char>> request;
+  HttpWireRequest request;
   request.version(11);
   request.method_string(aCall.method);
   request.target(aCall.target);
-  request.set(http::field::host, aCall.address);
   request.set(http::field::connection, "close");
   for (const auto& [name, value] : aCall.fields) {
-    request.set(name, value);
+    request.insert(name, value);
+  }
+  if (request.count(http::field::host) == 0) {
+    request.set(http::field::host, aCall.address);
   }
   if (aCall.body) {
     request.body() = { aCall.body->data(), aCall.body->size() };
@@ -42,23 +41,35 @@
   }
 }
 
-// Connects and sends; the reply's stage tells how far it came when it fails.
+// Opens the connection; on failure sets the reply's reason.
 asio::awaitable<bool>
-SendRequest(beast::tcp_stream& aStream, const HttpCall& aCall, HttpReply& aReply)
+Connect(beast::tcp_stream& aStream, const HttpCall& aCall, HttpReply& aReply)
 {
   const auto endpoint = ParseEndpoint(aCall.address);
   if (!endpoint) {
     aReply.reason = "'" + aCall.address + "' is no ip:port";
     co_return false;
   }
-  aStream.expires_after(std::min(aCall.timeout, kConnectBound));
-  const auto [connectError] = co_await aStream.async_connect(*endpoint, kTuple);
-  if (connectError) {
-    aReply.reason = connectError.message();
+  aStream.expires_after(std::min(aCall.timeout, aCall.connectTimeout));
+  const auto [error] = co_await aStream.async_connect(*endpoint, kTuple);
+  if (error) {
+    aReply.reason = error.message();
     co_return false;
   }
-  aStream.socket().set_option(tcp::no_delay(true));
+  beast::error_code ignored; // Without the option the request is only slower.
+  aStream.socket().set_option(tcp::no_delay(true), ignored);
   aStream.expires_after(aCall.timeout);
+  co_return true;
+}
+
+// Connects and sends; the reply's stage tells how far it came when it fails.
+asio::awaitable<bool>
+SendRequest(beast::tcp_stream& aStream, const HttpCall& aCall, HttpReply& aReply)
+{
+  const bool connected = co_await Connect(aStream, aCall, aReply);
+  if (!connected) {
+    co_return false;
+  }
   aReply.stage = HttpStage::Lost;
   const auto request = MakeRequest(aCall);
   const auto [writeError, size] = co_await http::async_write(aStream, request, kTuple);
@@ -114,10 +125,19 @@
 HttpStream::Open(HttpCall aCall)
 {
   HttpReply reply;
-  const bool sent = co_await SendRequest(this->stream, aCall, reply);
-  if (!sent) {
+  const bool connected = co_await Connect(this->stream, aCall, reply);
+  if (!connected) {
     co_return reply;
   }
+  reply.stage = HttpStage::Lost;
+  // The answer may come before the whole request is sent, so both go on side by side. The request
+  // and its body live until the write has ended; a failed write shows in the read as well.
+  const auto request = std::make_shared<HttpWireRequest>(MakeRequest(aCall));
+  http::async_write(
+    this->stream, *request, [request, body = aCall.body](beast::error_code, std::size_t) {});
+  HttpTraffic& traffic = FetchTraffic()[aCall.address];
+  ++traffic.calls;
+  traffic.sentBytes += request->payload_size().value_or(0);
   const auto [error, size] =
     co_await http::async_read_header(this->stream, this->buffer, this->parser, kTuple);
   if (error) {
@@ -142,6 +162,7 @@
     }
     if (error) {
       this->timedOut = error == beast::error::timeout;
+      this->error = error.message();
       co_return std::nullopt;
     }
   }
--- a/src/runtime/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,10 +1,12 @@
+#include <tuple>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/internal/Text.h"
 
 namespace sycamorepost {
@@ -20,7 +22,7 @@
   head.version(11);
   head.result(static_cast<unsigned>(aStatus));
   for (const auto& [name, value] : aFields) {
-    head.set(name, value);
+    head.insert(name, value);
   }
   head.keep_alive(aKeepAlive);
   return head;
@@ -99,10 +101,17 @@
   return {};
 }
 
+bool
+HttpExchange::DecideKeepAlive()
+{
+  this->keepAlive = this->keepAlive && !(this->closing && *this->closing);
+  return this->keepAlive;
+}
+
 asio::awaitable<bool>
 HttpExchange::Respond(int aStatus, std::vector<Field> aFields, SharedBody aBody)
 {
-  auto head = MakeHead(aStatus, aFields, this->keepAlive);
+  auto head = MakeHead(aStatus, aFields, this->DecideKeepAlive());
   http::response<http::span_body<const char>> response(std::move(head.base()));
   if (aBody) {
     response.body() = { aBody->data(), aBody->size() };
@@ -117,7 +126,7 @@
 asio::awaitable<bool>
 HttpExchange::BeginStream(int aStatus, std::vector<Field> aFields)
 {
-  auto head = MakeHead(aStatus, aFields, this->keepAlive);
+  auto head = MakeHead(aStatus, aFields, this->DecideKeepAlive());
   head.chunked(true);
   http::response_serializer<http::empty_body> serializer(head);
   this->stream.expires_after(this->writeBound);
@@ -202,6 +211,7 @@
 HttpServer::StopAccepting()
 {
   this->stopping = true;
+  this->closing = true;
   beast::error_code error;
   this->acceptor.close(error);
 }
@@ -270,8 +280,12 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(this->limits.headerBytes);
   parser.body_limit(this->limits.bodyBytes);
-  aStream.expires_after(this->limits.readBound);
-  const auto [error, size] = co_await http::async_read(aStream, aBuffer, parser, kTuple);
+  aStream.expires_after(this->limits.headerBound);
+  auto [error, size] = co_await http::async_read_header(aStream, aBuffer, parser, kTuple);
+  if (!error && !parser.is_done()) {
+    aStream.expires_after(this->limits.readBound);
+    std::tie(error, size) = co_await http::async_read(aStream, aBuffer, parser, kTuple);
+  }
   if (error) {
     HttpExchange exchange(aStream, false, this->limits.writeBound);
     if (!IsClosed(error)) {
@@ -280,7 +294,8 @@
     co_return false;
   }
   auto message = parser.release();
-  HttpExchange exchange(aStream, message.keep_alive() && !this->stopping, this->limits.writeBound);
+  const bool keep = message.keep_alive() && !this->stopping;
+  HttpExchange exchange(aStream, keep, this->limits.writeBound, &this->closing);
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
@@ -288,7 +303,7 @@
   request.fields = std::move(message.base());
   aStream.expires_never();
   co_await this->handler(std::move(request), exchange);
-  co_return exchange.KeepAlive() && !this->stopping;
+  co_return exchange.KeepAlive();
 }
 
 asio::awaitable<void>
--- a/src/runtime/PeerBus.cpp
+++ b/src/net/PeerBus.cpp
@@ -1,4 +1,4 @@
-#include "runtime/PeerBus.h"
+#include "net/PeerBus.h"
 
 #include <chrono>
 #include <cstring>
--- a/src/runtime/PeerBus.h
+++ b/src/net/PeerBus.h
@@ -1,8 +1,8 @@
 // Offers the messages between the system's own processes over nng: one PULL socket to listen, one
 // PUSH socket for each peer. A message that could not be sent in time is dropped; the sender must
 // treat it as possibly sent.
-#ifndef SYCAMOREPOST_RUNTIME_PEER_BUS_H_
-#define SYCAMOREPOST_RUNTIME_PEER_BUS_H_
+#ifndef SYCAMOREPOST_NET_PEER_BUS_H_
+#define SYCAMOREPOST_NET_PEER_BUS_H_
 
 #include <array>
 #include <cstdint>
@@ -81,4 +81,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_RUNTIME_PEER_BUS_H_
+#endif // SYCAMOREPOST_NET_PEER_BUS_H_
--- /dev/null
+++ b/src/runtime/DecisionLog.cpp
@@ -0,0 +1,89 @@
+#include "runtime/DecisionLog.h"
+
+#include <algorithm>
+#include <climits>
+
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
+
+#include "sycamorepost/Hash.h"
+
+namespace sycamorepost {
+
+namespace {
+
+// At 400 bytes a line this is about a second of failures of an entry at the target load.
+constexpr std::size_t kMostWaiting = 256 * 1024;
+
+// One request in this many has its successes logged.
+constexpr std::uint64_t kSampleOneIn = 64;
+
+bool
+IsKept(const LogDecision& aDecision)
+{
+  return aDecision.isFailure || aDecision.requestId.empty() ||
+         RendezvousWeight(0, aDecision.requestId) % kSampleOneIn == 0;
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(std::string aProcess, int aDescriptor)
+  : process(std::move(aProcess))
+  , descriptor(aDescriptor)
+{
+}
+
+void
+DecisionLog::Write(const LogDecision& aDecision, std::int64_t aUnixMs)
+{
+  if (!IsKept(aDecision)) {
+    return;
+  }
+  nlohmann::ordered_json line{ { "ts_ms", aUnixMs },
+                               { "process", this->process },
+                               { "decision", aDecision.decision } };
+  if (!aDecision.requestId.empty()) {
+    line["request"] = aDecision.requestId;
+  }
+  for (const Field& field : aDecision.fields) {
+    line[field.first] = field.second;
+  }
+  const std::string text =
+    line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
+  if (this->buffer.size() + text.size() > kMostWaiting) {
+    ++this->dropped;
+    return;
+  }
+  if (this->dropped > this->droppedSaid) {
+    const nlohmann::ordered_json said{ { "ts_ms", aUnixMs },
+                                       { "process", this->process },
+                                       { "decision", "log-dropped" },
+                                       { "lines", this->dropped - this->droppedSaid } };
+    this->buffer += said.dump() + "\n";
+    this->droppedSaid = this->dropped;
+  }
+  this->buffer += text;
+}
+
+void
+DecisionLog::Flush()
+{
+  std::size_t written = 0;
+  while (written < this->buffer.size()) {
+    pollfd ready{ .fd = this->descriptor, .events = POLLOUT, .revents = 0 };
+    if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      break;
+    }
+    // A pipe that is writable takes this much without blocking.
+    const std::size_t size = std::min<std::size_t>(this->buffer.size() - written, PIPE_BUF);
+    const ssize_t taken = write(this->descriptor, this->buffer.data() + written, size);
+    if (taken <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(taken);
+  }
+  this->buffer.erase(0, written);
+}
+
+} // namespace sycamorepost
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -91,6 +91,7 @@
            HttpLimits{ .headerBytes = aSettings.headerBytes,
                        .bodyBytes = aSettings.bodyBytes,
                        .connections = aSettings.connections,
+                       .headerBound = aSettings.readBound,
                        .readBound = aSettings.readBound },
            [this](HttpRequest aRequest, HttpExchange& aExchange) {
              return this->Serve(std::move(aRequest), aExchange);
--- /dev/null
+++ b/src/runtime/ForwardDaemon.cpp
@@ -0,0 +1,531 @@
+#include "runtime/ForwardDaemon.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include "platform/RequestCodec.h"
+#include "runtime/Node.h"
+
+namespace sycamorepost {
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(50);
+constexpr Duration kHouseEvery = std::chrono::milliseconds(250);
+
+// Descriptors that are kept for files, the peers and the store.
+constexpr std::uint32_t kOtherDescriptors = 300;
+
+HttpLimits
+MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
+{
+  HttpLimits limits;
+  limits.headerBytes = aLimits.headerBytes;
+  limits.bodyBytes = aLimits.bodyBytes;
+  // Each request in flight takes one more descriptor towards its target.
+  limits.connections =
+    (aSettings.descriptors - std::min(aSettings.descriptors, kOtherDescriptors)) / 2;
+  limits.headerBound = aLimits.headerTimeout;
+  limits.idleBound = aLimits.idleTimeout;
+  return limits;
+}
+
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+ForwardDaemon::ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath)
+  : settings(std::move(aSettings))
+  , settingsPath(std::move(aSettingsPath))
+  , incarnation(MakeIncarnation())
+  , log(this->settings.name)
+  , reducer(ForwardConfig{ .name = this->settings.name,
+                           .domain = this->settings.domain,
+                           .seed = this->incarnation,
+                           .retryRatio = this->settings.retryRatio,
+                           .retrySlack = this->settings.retrySlack,
+                           .retryWindow = this->settings.retryWindow,
+                           .reservationLease = this->settings.reservationLease })
+  , bus(
+      this->context,
+      this->settings.peerAddress,
+      this->incarnation,
+      [this](const Envelope& aEnvelope) { this->OnMessage(aEnvelope); },
+      [](const std::string& /*aPeer*/) {}) // The next message tells the same again.
+  , follower(
+      this->context,
+      this->settings.storeAddress,
+      { this->settings.name, this->settings.peerAddress },
+      { [this](std::shared_ptr<const RouteTable> aTable, const std::string& aText) {
+         this->OnRoutes(aTable, aText);
+       },
+        [this](const std::map<std::string, RegisteredTarget>& aTargets) {
+          LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
+          this->Step(TargetsChanged{ aTargets });
+        },
+        [this](const std::map<std::string, std::string>& aEntries) { this->OnEntries(aEntries); } },
+      this->incarnation)
+  , server(this->context,
+           MakeLimits(this->settings, CallerLimits{}),
+           [this](HttpRequest aRequest, HttpExchange& aExchange) {
+             return this->Serve(std::move(aRequest), aExchange);
+           })
+  , pages{ [this] { return this->reducer.Ready() && !this->draining; },
+           [this] { return this->FormatMetrics(); },
+           [this] { return this->MakeDump(); },
+           [this] { return this->table ? this->table->Format() : std::string(); } }
+  , admin(this->context,
+          HttpLimits{},
+          [this](HttpRequest aRequest, HttpExchange& aExchange) {
+            return ServeAdminPage(this->pages, std::move(aRequest), aExchange);
+          })
+  , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+  , wakeTimer(this->context)
+{
+}
+
+int
+ForwardDaemon::Run()
+{
+  struct Listening
+  {
+    HttpServer& server;
+    const std::string& address;
+  };
+  std::string reason;
+  for (const Listening& one : { Listening{ this->server, this->settings.httpAddress },
+                                Listening{ this->admin, this->settings.adminAddress } }) {
+    if (!one.server.Listen(*ParseEndpoint(one.address), reason)) {
+      LOG(ERROR) << "[forward] cannot listen on " << one.address << ": " << reason;
+      return 1;
+    }
+  }
+  if (!this->bus.Listen(this->settings.peerAddress, reason)) {
+    LOG(ERROR) << "[forward] cannot listen on " << this->settings.peerAddress << ": " << reason;
+    return 1;
+  }
+  this->follower.Start();
+  this->AwaitSignal();
+  asio::co_spawn(this->context, this->KeepHouse(), asio::detached);
+  this->Step(Wake{});
+  LOG(INFO) << "[forward] serving on " << this->settings.httpAddress;
+  this->context.run();
+  this->log.Flush();
+  LOG(INFO) << "[forward] stopped";
+  return 0;
+}
+
+// ---- The reducer's events and effects ----
+
+void
+ForwardDaemon::Step(const ForwardEvent& aEvent)
+{
+  for (ForwardEffect& effect : this->reducer.Step(aEvent, Node::Now())) {
+    std::visit([this](auto& aEffect) { this->Carry(aEffect); }, effect);
+  }
+  this->ArmWake();
+}
+
+// Arms the timer anew only when it would come too late; one that comes early is armed again.
+void
+ForwardDaemon::ArmWake()
+{
+  const auto next = this->reducer.NextWake();
+  if (!next || this->wakeAt <= *next) {
+    return;
+  }
+  this->wakeAt = *next;
+  this->wakeTimer.expires_at(*next);
+  this->wakeTimer.async_wait([this](beast::error_code aError) {
+    if (!aError) {
+      this->wakeAt = Instant::max();
+      this->Step(Wake{});
+    }
+  });
+}
+
+ForwardDaemon::Session*
+ForwardDaemon::Find(std::uint64_t aHandle)
+{
+  const auto found = this->sessions.find(aHandle);
+  return found == this->sessions.end() ? nullptr : found->second.get();
+}
+
+void
+ForwardDaemon::Carry(StartAttempt& aStart)
+{
+  const Session* session = this->Find(aStart.handle);
+  if (!session) {
+    return;
+  }
+  auto stream = std::make_shared<HttpStream>(this->context.get_executor());
+  this->attempts[aStart.attempt] = stream;
+  asio::co_spawn(this->context,
+                 this->RunAttempt(aStart.attempt,
+                                  platform::EncodeAttempt(*session->request, aStart),
+                                  session->request->requestId,
+                                  std::move(stream)),
+                 asio::detached);
+}
+
+void
+ForwardDaemon::Carry(CancelAttempt& aCancel)
+{
+  const auto found = this->attempts.find(aCancel.attempt);
+  if (found != this->attempts.end()) {
+    const auto stream = std::move(found->second);
+    this->attempts.erase(found);
+    stream->Close();
+  }
+}
+
+void
+ForwardDaemon::Carry(BeginAnswer& aBegin)
+{
+  if (Session* session = this->Find(aBegin.handle)) {
+    session->begin = std::move(aBegin);
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(ContinueAnswer& aContinue)
+{
+  if (Session* session = this->Find(aContinue.handle)) {
+    session->pieces += aContinue.bytes;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(CompleteAnswer& aComplete)
+{
+  if (Session* session = this->Find(aComplete.handle)) {
+    session->complete = true;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(BreakAnswer& aBreak)
+{
+  if (Session* session = this->Find(aBreak.handle)) {
+    session->broken = true;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(WholeAnswer& aWhole)
+{
+  if (Session* session = this->Find(aWhole.handle)) {
+    session->whole = std::move(aWhole);
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(SendOrder& aOrder)
+{
+  asio::co_spawn(this->context, this->RunOrder(std::move(aOrder)), asio::detached);
+}
+
+void
+ForwardDaemon::Carry(TellLoad& aTell)
+{
+  EntryLoad load;
+  load.whole = aTell.whole;
+  load.version = this->table ? this->table->version : 0;
+  for (LoadTold& told : aTell.loads) {
+    load.shares.push_back({ std::move(told.instance), told.running, told.memory, told.readMs });
+  }
+  this->SendToPeers(load);
+}
+
+void
+ForwardDaemon::Carry(TellBreak& aTell)
+{
+  this->SendToPeers(BreakNotice{ aTell.fingerprint });
+}
+
+void
+ForwardDaemon::Carry(CountEvent& aCount)
+{
+  this->metrics.Count(aCount.name, aCount.label, aCount.amount);
+}
+
+void
+ForwardDaemon::Carry(LogDecision& aDecision)
+{
+  this->log.Write(aDecision, UnixMs());
+}
+
+// ---- One caller ----
+
+asio::awaitable<void>
+ForwardDaemon::Serve(HttpRequest aRequest, HttpExchange& aExchange)
+{
+  const std::uint64_t handle = ++this->lastHandle;
+  const auto session = std::make_shared<Session>(this->context);
+  session->startedAt = Node::Now();
+  session->request =
+    std::make_shared<const ForwardRequest>(platform::DecodeRequest(aRequest, handle));
+  aRequest = {};
+  this->sessions[handle] = session;
+  aExchange.WatchClose(session, [this, handle] { this->Step(ForwardCallerGone{ handle }); });
+  this->Step(*session->request);
+  co_await this->Deliver(*session, aExchange);
+  this->Step(ForwardCallerGone{ handle });
+  this->sessions.erase(handle);
+  this->metrics.Observe("request", "", Node::Now() - session->startedAt);
+}
+
+asio::awaitable<void>
+ForwardDaemon::Deliver(Session& aSession, HttpExchange& aExchange)
+{
+  while (!aSession.begin && !aSession.whole && !aSession.broken) {
+    const bool open = this->reducer.Knows(aSession.request->handle);
+    if (!open) {
+      aExchange.Drop();
+      co_return; // The caller has gone.
+    }
+    co_await this->AwaitChange(aSession);
+  }
+  if (aSession.whole) {
+    WholeAnswer& answer = *aSession.whole;
+    std::vector<Field> fields = std::move(answer.fields);
+    if (fields.empty()) {
+      fields = platform::EncodeRefusal(aSession.request->requestId, answer.retryAfter);
+    }
+    co_await aExchange.Respond(answer.status, std::move(fields), MakeBody(std::move(answer.body)));
+  } else if (aSession.begin) {
+    this->metrics.Observe(
+      "first_event", LengthClass(aSession.request->promptTokens), Node::Now() - aSession.startedAt);
+    co_await this->DeliverStream(aSession, aExchange);
+  } else {
+    aExchange.Drop();
+  }
+}
+
+asio::awaitable<void>
+ForwardDaemon::DeliverStream(Session& aSession, HttpExchange& aExchange)
+{
+  bool open =
+    co_await aExchange.BeginStream(aSession.begin->status, std::move(aSession.begin->fields));
+  while (open) {
+    if (!aSession.pieces.empty()) {
+      open = co_await aExchange.Write(std::exchange(aSession.pieces, {}));
+    } else if (aSession.complete) {
+      co_await aExchange.EndStream({});
+      co_return;
+    } else if (aSession.broken || !this->reducer.Knows(aSession.request->handle)) {
+      break;
+    } else {
+      co_await this->AwaitChange(aSession);
+    }
+  }
+  aExchange.Drop();
+}
+
+asio::awaitable<void>
+ForwardDaemon::AwaitChange(Session& aSession)
+{
+  aSession.changed.expires_at(std::chrono::steady_clock::time_point::max());
+  co_await aSession.changed.async_wait(kTuple);
+}
+
+// ---- One target ----
+
+asio::awaitable<void>
+ForwardDaemon::RunAttempt(std::uint64_t aAttempt,
+                          HttpCall aCall,
+                          std::string aRequestId,
+                          std::shared_ptr<HttpStream> aStream)
+{
+  const Instant deadline = Node::Now() + aCall.timeout;
+  const HttpReply head = co_await aStream->Open(std::move(aCall));
+  if (!this->attempts.contains(aAttempt)) {
+    co_return;
+  }
+  AttemptEnd end{ aAttempt, AttemptEndKind::Broken, head.reason };
+  if (head.stage == HttpStage::Answered) {
+    this->Step(platform::DecodeHead(aAttempt, aRequestId, head));
+    while (this->attempts.contains(aAttempt)) {
+      auto piece = co_await aStream->Read(std::max(Duration(1), deadline - Node::Now()));
+      if (!piece) {
+        break;
+      }
+      if (this->attempts.contains(aAttempt)) {
+        this->Step(AttemptData{ aAttempt, std::move(*piece) });
+      }
+    }
+    end.kind = aStream->Complete() ? AttemptEndKind::Complete : AttemptEndKind::Broken;
+    end.reason = aStream->Error();
+  } else if (head.stage == HttpStage::NotReached) {
+    end.kind = AttemptEndKind::NotReached;
+  }
+  if (this->attempts.erase(aAttempt) > 0) {
+    aStream->Close();
+    this->Step(end);
+  }
+}
+
+asio::awaitable<void>
+ForwardDaemon::RunOrder(SendOrder aOrder)
+{
+  const HttpReply reply = co_await Fetch(platform::EncodeOrder(aOrder));
+  this->Step(
+    OrderEnd{ aOrder.order, reply.stage == HttpStage::Answered, platform::IsGranted(reply) });
+}
+
+// ---- Peers, configuration and the process ----
+
+void
+ForwardDaemon::OnMessage(const Envelope& aEnvelope)
+{
+  if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
+    PeerLoadTold told{ aEnvelope.from, {}, load->whole };
+    for (const TargetShare& share : load->shares) {
+      told.loads.push_back({ share.instance, share.running, share.memory, share.readMs });
+    }
+    this->Step(told);
+    if (load->version > this->follower.Version()) {
+      this->bus.Send(aEnvelope.from, 0, RulesAsk{ this->follower.Version() }, nullptr);
+    }
+  } else if (const auto* notice = std::get_if<BreakNotice>(&aEnvelope.message)) {
+    this->Step(PeerBreakTold{ notice->fingerprint });
+  } else if (const auto* ask = std::get_if<RulesAsk>(&aEnvelope.message)) {
+    if (this->follower.Version() > ask->version) {
+      this->bus.Send(
+        aEnvelope.from, 0, RulesTell{ this->follower.Version(), 0 }, MakeBody(this->configuration));
+    }
+  } else if (std::holds_alternative<RulesTell>(aEnvelope.message)) {
+    this->follower.TakeConfiguration(*aEnvelope.body);
+  }
+}
+
+void
+ForwardDaemon::OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText)
+{
+  this->table = aTable;
+  this->configuration = aText;
+  this->server.SetLimits(MakeLimits(this->settings, aTable->limits));
+  this->Step(RoutesChanged{ aTable });
+}
+
+void
+ForwardDaemon::OnEntries(const std::map<std::string, std::string>& aEntries)
+{
+  this->peers = aEntries;
+  this->peers.erase(this->settings.name);
+  LOG(INFO) << "[forward] " << this->peers.size() << " other entries are registered";
+}
+
+void
+ForwardDaemon::SendToPeers(const Message& aMessage)
+{
+  for (const auto& [name, address] : this->peers) {
+    if (address != this->settings.peerAddress) {
+      this->bus.Send(address, 0, aMessage, nullptr);
+    }
+  }
+}
+
+void
+ForwardDaemon::AwaitSignal()
+{
+  this->signals.async_wait([this](beast::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      this->Reload();
+    } else if (!this->draining) {
+      LOG(INFO) << "[forward] asked to stop, " << this->reducer.InFlight()
+                << " requests are in flight";
+      this->draining = true;
+      asio::co_spawn(this->context, this->Drain(), asio::detached);
+    }
+    this->AwaitSignal();
+  });
+}
+
+// The addresses of a running process cannot change; all else that varies comes from the store.
+void
+ForwardDaemon::Reload()
+{
+  const auto fresh = LoadSettings<ForwardSettings>(this->settingsPath, ParseForwardSettings);
+  if (!fresh) {
+    LOG(WARNING) << "[forward] the changed settings are wrong, the old ones stay in force";
+    return;
+  }
+  this->settings.drainDelay = fresh->drainDelay;
+  LOG(INFO) << "[forward] the settings were read again";
+}
+
+// The balancer learns from /readyz that no new request should come; until then they are served.
+asio::awaitable<void>
+ForwardDaemon::Drain()
+{
+  this->server.CloseAfterAnswers();
+  asio::co_spawn(this->context, this->follower.Withdraw(), asio::detached);
+  asio::steady_timer timer(this->context, this->settings.drainDelay);
+  co_await timer.async_wait(kTuple);
+  this->server.StopAccepting();
+  while (this->server.Active() > 0 || this->reducer.InFlight() > 0) {
+    timer.expires_after(kDrainPoll);
+    co_await timer.async_wait(kTuple);
+  }
+  this->context.stop();
+}
+
+asio::awaitable<void>
+ForwardDaemon::KeepHouse()
+{
+  asio::steady_timer timer(this->context);
+  while (true) {
+    timer.expires_after(kHouseEvery);
+    co_await timer.async_wait(kTuple);
+    this->log.Flush();
+    this->bus.CloseIdle();
+    const bool ready = this->pages.ready();
+    if (ready != this->wasReady) {
+      LOG(INFO) << "[forward] " << (ready ? "ready" : "not ready");
+      this->wasReady = ready;
+    }
+  }
+}
+
+std::string
+ForwardDaemon::FormatMetrics()
+{
+  this->metrics.Set("configuration_version", static_cast<double>(this->follower.Version()));
+  this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
+  this->metrics.Set("log_lines_dropped", static_cast<double>(this->log.Dropped()));
+  return this->metrics.Format();
+}
+
+nlohmann::json
+ForwardDaemon::MakeDump()
+{
+  nlohmann::json json = this->reducer.Dump(Node::Now());
+  json["incarnation"] = this->incarnation;
+  json["peer_links"] = this->bus.Peers();
+  return json;
+}
+
+} // namespace sycamorepost
--- /dev/null
+++ b/src/runtime/ForwardDaemon.h
@@ -0,0 +1,116 @@
+// Offers the entry process on the platform's machines: callers' HTTP in, targets' HTTP out, all
+// decisions in the forwarding reducer.
+#ifndef SYCAMOREPOST_RUNTIME_FORWARD_DAEMON_H_
+#define SYCAMOREPOST_RUNTIME_FORWARD_DAEMON_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "net/PeerBus.h"
+#include "platform/StoreFollower.h"
+#include "runtime/AdminPages.h"
+#include "runtime/DecisionLog.h"
+#include "runtime/Metrics.h"
+#include "runtime/Settings.h"
+#include "sycamorepost/forward/ForwardReducer.h"
+
+namespace sycamorepost {
+
+// The daemon.
+class ForwardDaemon
+{
+public:
+  // The settings' path is read again when the process is told that the file has changed.
+  ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath);
+
+  // Runs until it is asked to stop. Returns the exit status.
+  int Run();
+
+private:
+  // A caller's request, and what the reducer has decided for it and was not sent yet.
+  struct Session
+  {
+    explicit Session(asio::io_context& aContext)
+      : changed(aContext)
+    {
+    }
+
+    std::shared_ptr<const ForwardRequest> request;
+    Instant startedAt;
+    std::optional<BeginAnswer> begin;
+    std::optional<WholeAnswer> whole;
+    std::string pieces;
+    bool complete = false;
+    bool broken = false;
+    asio::steady_timer changed; // Cancelled to wake the caller's coroutine.
+  };
+
+  void Step(const ForwardEvent& aEvent);
+  void ArmWake();
+  void Carry(StartAttempt& aStart);
+  void Carry(CancelAttempt& aCancel);
+  void Carry(BeginAnswer& aBegin);
+  void Carry(ContinueAnswer& aContinue);
+  void Carry(CompleteAnswer& aComplete);
+  void Carry(BreakAnswer& aBreak);
+  void Carry(WholeAnswer& aWhole);
+  void Carry(SendOrder& aOrder);
+  void Carry(TellLoad& aTell);
+  void Carry(TellBreak& aTell);
+  void Carry(CountEvent& aCount);
+  void Carry(LogDecision& aDecision);
+  Session* Find(std::uint64_t aHandle);
+
+  asio::awaitable<void> Serve(HttpRequest aRequest, HttpExchange& aExchange);
+  asio::awaitable<void> Deliver(Session& aSession, HttpExchange& aExchange);
+  asio::awaitable<void> DeliverStream(Session& aSession, HttpExchange& aExchange);
+  asio::awaitable<void> AwaitChange(Session& aSession);
+  asio::awaitable<void> RunAttempt(std::uint64_t aAttempt,
+                                   HttpCall aCall,
+                                   std::string aRequestId,
+                                   std::shared_ptr<HttpStream> aStream);
+  asio::awaitable<void> RunOrder(SendOrder aOrder);
+
+  void OnMessage(const Envelope& aEnvelope);
+  void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
+  void OnEntries(const std::map<std::string, std::string>& aEntries);
+  void SendToPeers(const Message& aMessage);
+  void AwaitSignal();
+  void Reload();
+  asio::awaitable<void> Drain();
+  asio::awaitable<void> KeepHouse();
+  std::string FormatMetrics();
+  nlohmann::json MakeDump();
+
+  ForwardSettings settings;
+  std::string settingsPath;
+  asio::io_context context{ 1 };
+  std::uint64_t incarnation;
+  Metrics metrics;
+  DecisionLog log;
+  ForwardReducer reducer;
+  PeerBus bus;
+  platform::StoreFollower follower;
+  HttpServer server;
+  AdminSource pages;
+  HttpServer admin;
+  asio::signal_set signals;
+  asio::steady_timer wakeTimer;
+  Instant wakeAt = Instant::max();
+  bool draining = false;
+  bool wasReady = false;
+  std::uint64_t lastHandle = 0;
+  std::map<std::uint64_t, std::shared_ptr<Session>> sessions;    // By handle.
+  std::map<std::uint64_t, std::shared_ptr<HttpStream>> attempts; // By attempt.
+  std::map<std::string, std::string> peers;                      // Addresses by name.
+  std::shared_ptr<const RouteTable> table;
+  std::string configuration; // The text in force, for peers that do not reach the store.
+};
+
+} // namespace sycamorepost
+
+#endif // SYCAMOREPOST_RUNTIME_FORWARD_DAEMON_H_
--- a/src/runtime/Node.cpp
+++ b/src/runtime/Node.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kFleetPollEvery = std::chrono::milliseconds(2000);
 constexpr Duration kHouseEvery = std::chrono::seconds(10);
 
+} // namespace
+
 std::uint64_t
 MakeIncarnation()
 {
@@ -22,8 +24,6 @@
   return (std::uint64_t{ device() } << 32) | device();
 }
 
-} // namespace
-
 Node::Node(const NodeSettings& aSettings, NodeHooks aHooks)
   : settings(aSettings)
   , hooks(std::move(aHooks))
@@ -54,10 +54,14 @@
       },
       [this](RulesChanged aChanged) { this->hooks.onRules(std::move(aChanged)); },
       this->incarnation)
+  , pages{ [this] { return this->hooks.ready(); },
+           [this] { return this->FormatMetrics(); },
+           [this] { return this->MakeDump(); },
+           {} }
   , admin(this->context,
           HttpLimits{},
           [this](HttpRequest aRequest, HttpExchange& aExchange) {
-            return this->ServeAdmin(std::move(aRequest), aExchange);
+            return ServeAdminPage(this->pages, std::move(aRequest), aExchange);
           })
   , signals(this->context, SIGTERM, SIGINT)
   , wakeTimer(this->context)
@@ -133,32 +137,14 @@
   }
 }
 
-asio::awaitable<void>
-Node::ServeAdmin(HttpRequest aRequest, HttpExchange& aExchange)
+nlohmann::json
+Node::MakeDump()
 {
-  const std::string path = aRequest.Path();
-  if (path == "/healthz") {
-    co_await aExchange.Respond(200, {}, MakeBody("ok\n"));
-  } else if (path == "/readyz") {
-    const bool ready = this->hooks.ready();
-    const int status = ready ? 200 : 503;
-    const SharedBody body = MakeBody(ready ? "ready\n" : "not ready\n");
-    co_await aExchange.Respond(status, {}, body);
-  } else if (path == "/metrics") {
-    std::vector<Field> fields{ { "Content-Type", "text/plain; version=0.0.4" } };
-    co_await aExchange.Respond(200, std::move(fields), MakeBody(this->FormatMetrics()));
-  } else if (path == "/dump") {
-    nlohmann::json json = this->hooks.dump();
-    json["incarnation"] = this->incarnation;
-    json["rules_text_bytes"] = this->rules.Store().Text().size();
-    json["peer_links"] = this->bus.Peers();
-    std::vector<Field> fields{ { "Content-Type", "application/json" } };
-    std::string text = json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-    co_await aExchange.Respond(200, std::move(fields), MakeBody(std::move(text)));
-  } else {
-    co_await aExchange.Respond(
-      404, {}, MakeBody("The paths are /healthz, /readyz, /metrics and /dump.\n"));
-  }
+  nlohmann::json json = this->hooks.dump();
+  json["incarnation"] = this->incarnation;
+  json["rules_text_bytes"] = this->rules.Store().Text().size();
+  json["peer_links"] = this->bus.Peers();
+  return json;
 }
 
 std::string
--- a/src/runtime/Node.h
+++ b/src/runtime/Node.h
@@ -13,9 +13,10 @@
 
 #include "adapters/LogClient.h"
 #include "adapters/VmList.h"
-#include "runtime/Http.h"
+#include "net/Http.h"
+#include "net/PeerBus.h"
+#include "runtime/AdminPages.h"
 #include "runtime/Metrics.h"
-#include "runtime/PeerBus.h"
 #include "runtime/RuleFollower.h"
 #include "runtime/Settings.h"
 
@@ -33,6 +34,10 @@
   std::function<nlohmann::json()> dump;
 };
 
+// Returns a number that differs at each start of a process.
+std::uint64_t
+MakeIncarnation();
+
 // The common part of a daemon.
 class Node
 {
@@ -83,7 +88,7 @@
 private:
   asio::awaitable<void> FollowFleet();
   asio::awaitable<void> KeepHouse();
-  asio::awaitable<void> ServeAdmin(HttpRequest aRequest, HttpExchange& aExchange);
+  nlohmann::json MakeDump();
   std::string FormatMetrics();
   void WriteLog(const std::string& aText);
 
@@ -96,6 +101,7 @@
   LogClient log;
   VmList vmList;
   RuleFollower rules;
+  AdminSource pages;
   HttpServer admin;
   asio::signal_set signals;
   asio::steady_timer wakeTimer;
--- a/src/runtime/RuleFollower.h
+++ b/src/runtime/RuleFollower.h
@@ -7,7 +7,7 @@
 #include <random>
 
 #include "adapters/LogClient.h"
-#include "runtime/PeerBus.h"
+#include "net/PeerBus.h"
 #include "sycamorepost/Effects.h"
 #include "sycamorepost/RuleStore.h"
 
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -7,7 +7,7 @@
 
 #include <toml++/toml.h>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "sycamorepost/Rules.h"
 #include "sycamorepost/internal/Text.h"
 
@@ -79,6 +79,21 @@
     aValue = static_cast<Number>(value);
   }
 
+  // Reads an optional number that is not negative.
+  void Number(const std::string& aKey, double& aValue)
+  {
+    const toml::node* node = this->Find(aKey, false);
+    if (!node) {
+      return;
+    }
+    const auto value = node->value<double>();
+    if (!value || *value < 0) {
+      this->Fail(*node, aKey + " must be a number of 0 or more");
+      return;
+    }
+    aValue = *value;
+  }
+
   // Reads an optional span such as "2s".
   void Span(const std::string& aKey, Duration& aValue)
   {
@@ -240,6 +255,42 @@
   return aErrors.empty() ? std::optional(settings) : std::nullopt;
 }
 
+std::optional<ForwardSettings>
+ParseForwardSettings(const std::string& aText, std::vector<SettingsError>& aErrors)
+{
+  static constexpr std::int64_t kMostDescriptors = 1'000'000;
+  const auto root = ParseToml(aText, aErrors);
+  if (!root) {
+    return std::nullopt;
+  }
+  ForwardSettings settings;
+  CheckTables(*root, { "forward" }, aErrors);
+  TableReader forward(*root, "forward", aErrors);
+  forward.Text("name", settings.name);
+  forward.Text("domain", settings.domain);
+  forward.Address("http_address", settings.httpAddress);
+  forward.Address("admin_address", settings.adminAddress);
+  forward.Address("peer_address", settings.peerAddress);
+  forward.Address("store_address", settings.storeAddress);
+  forward.Span("drain_delay", settings.drainDelay);
+  forward.Count("descriptors", settings.descriptors, 256, kMostDescriptors);
+  forward.Number("retry_ratio", settings.retryRatio);
+  forward.Number("retry_slack", settings.retrySlack);
+  forward.Span("retry_window", settings.retryWindow);
+  forward.Span("reservation_lease", settings.reservationLease);
+  forward.Finish();
+  SortErrors(aErrors);
+  return aErrors.empty() ? std::optional(settings) : std::nullopt;
+}
+
+bool
+IsForwardSettings(const std::string& aText)
+{
+  std::vector<SettingsError> ignored; // The parser of the settings reports them.
+  const auto root = ParseToml(aText, ignored);
+  return root && (*root)["forward"].is_table();
+}
+
 std::optional<SidecarSettings>
 ParseSidecarSettings(const std::string& aText, std::vector<SettingsError>& aErrors)
 {
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -33,6 +33,23 @@
   Duration readBound = std::chrono::seconds(30);
 };
 
+// The settings of an entry that forwards by itself, on the platform's machines.
+struct ForwardSettings
+{
+  std::string name;         // Unique among the entries.
+  std::string domain;       // The failure domain.
+  std::string httpAddress;  // For callers.
+  std::string adminAddress; // For the balancer and operators: readiness, metrics, dump.
+  std::string peerAddress;  // Where the other entries reach this one.
+  std::string storeAddress; // The platform's store.
+  Duration drainDelay = std::chrono::milliseconds(2500); // Two checks of the balancer and a half.
+  std::uint32_t descriptors = 4096;                      // That the process may open.
+  double retryRatio = 0.2;                               // See ForwardConfig.
+  double retrySlack = 20;
+  Duration retryWindow = std::chrono::seconds(10);
+  Duration reservationLease = std::chrono::seconds(3);
+};
+
 // The settings of a sidecar.
 struct SidecarSettings
 {
@@ -55,6 +72,14 @@
 std::optional<EntrySettings>
 ParseEntrySettings(const std::string& aText, std::vector<SettingsError>& aErrors);
 
+// Parses the settings of an entry that forwards; on failure returns nothing and fills the errors.
+std::optional<ForwardSettings>
+ParseForwardSettings(const std::string& aText, std::vector<SettingsError>& aErrors);
+
+// Returns whether a settings text is one of an entry that forwards: it has the table [forward].
+bool
+IsForwardSettings(const std::string& aText);
+
 // Parses a sidecar's settings; on failure returns nothing and fills the errors.
 std::optional<SidecarSettings>
 ParseSidecarSettings(const std::string& aText, std::vector<SettingsError>& aErrors);
--- a/test/harness/Cluster.h
+++ b/test/harness/Cluster.h
@@ -14,7 +14,7 @@
 #include "HistoryChecker.h"
 #include "Process.h"
 #include "Relay.h"
-#include "runtime/Http.h"
+#include "net/Http.h"
 #include "runtime/RuleAdmin.h"
 
 namespace sycamorepost::harness {
--- a/test/harness/Relay.h
+++ b/test/harness/Relay.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 
 namespace sycamorepost::harness {
 
--- a/test/standins/StandIn.h
+++ b/test/standins/StandIn.h
@@ -12,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
-#include "runtime/Http.h"
+#include "net/Http.h"
 
 namespace sycamorepost::standin {
 
