Judge a broken stream only by a check that was sent after it broke

Cause: OperationsTest::ARequestThatCrashesEnginesIsBlocked failed beside busy processes (7 of 12 runs): the first engine's death was not noted, so the request ran on a third engine, with 6 of its 8 tokens already delivered, and finished before that one crashed. The sidecar judged the broken stream by a report that was asked for on schedule before the break ('up'), or by one that met the exiting process ('silent'). Ruled out: the stand-in's timing (its log shows the crash 30 ms after each start, as meant). Change: a check of before is not used, and a silent one is repeated up to three times. SidecarReducerTest holds the case and failed first.

--- a/src/core/SidecarImpl.h
+++ b/src/core/SidecarImpl.h
@@ -138,6 +138,7 @@
   void AbandonAllOf(const std::string& aEntry);
   void CheckEngine();
   void JudgeLost();
+  bool AsksAgain(const EngineReport& aReport);
   void SpreadSuspicion(const internal::Attempt& aAttempt);
   void CancelStrays(const EngineReport& aReport);
   void TellKeyEnds();
@@ -187,6 +188,8 @@
   EngineState engineState = EngineState::Gone;
   std::string bootId;
   bool checking = false;
+  bool checkIsOld = false;        // The check on its way was sent before a stream broke.
+  std::uint32_t silentChecks = 0; // Checks in a row that said nothing while streams wait for one.
   Instant reportAt;
   std::optional<Instant> dispatchAt;
   std::map<std::uint64_t, std::uint64_t> runs; // Attempt by run.
--- a/src/core/SidecarWork.cpp
+++ b/src/core/SidecarWork.cpp
@@ -84,6 +84,7 @@
       return;
     case EngineEndKind::Lost:
       this->lost.insert(attempt.id);
+      this->checkIsOld = this->checking;
       this->CheckEngine();
       break;
   }
@@ -135,10 +136,30 @@
   if (aReport.state == EngineState::Gone) {
     this->LoseAllHolds();
   }
-  this->JudgeLost();
+  if (this->lost.empty() || !this->AsksAgain(aReport)) {
+    this->JudgeLost();
+  }
   this->Dispatch();
 }
 
+// Returns whether broken streams have to wait for another check: this one was sent before they
+// broke, or it met an engine that did not answer and may be on its way out.
+bool
+SidecarReducer::Impl::AsksAgain(const EngineReport& aReport)
+{
+  // An engine that is only paused stays silent for longer.
+  static constexpr std::uint32_t kMostSilentChecks = 3;
+  const bool old = std::exchange(this->checkIsOld, false) && aReport.state == EngineState::Up;
+  this->silentChecks = aReport.state == EngineState::Silent ? this->silentChecks + 1 : 0;
+  const bool silent = this->silentChecks > 0 && this->silentChecks <= kMostSilentChecks;
+  if (old || silent) {
+    this->CheckEngine();
+    return true;
+  }
+  this->silentChecks = 0;
+  return false;
+}
+
 // Decides for each broken stream whether the engine died of it.
 void
 SidecarReducer::Impl::JudgeLost()
--- a/test/SidecarReducerTest.cpp
+++ b/test/SidecarReducerTest.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(WorkThatCannotFinishIsRefusedAtOnce);
   CPPUNIT_TEST(LapsedLeasesFreeTheEngine);
   CPPUNIT_TEST(ALeavingTargetTakesNothing);
+  CPPUNIT_TEST(ADeathIsNotJudgedByAReportOfBefore);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,6 +227,44 @@
     CPPUNIT_ASSERT(refused && refused->reason == RefuseReason::Leaving);
     CPPUNIT_ASSERT(world.reducer.Drained());
   }
+
+  void ADeathIsNotJudgedByAReportOfBefore()
+  {
+    // A report is asked for on schedule, and the engine dies while the answer is on its way.
+    SidecarWorld world;
+    world.Run(1000);
+    world.now += std::chrono::seconds(1);
+    world.Step(Wake{});
+    EngineEnded ended;
+    ended.run = world.runs.back().run;
+    ended.kind = EngineEndKind::Lost;
+    world.Step(ended);
+    EngineReport report;
+    report.state = EngineState::Up;
+    report.bootId = "boot-1";
+    report.capacityTokens = 100'000;
+    CPPUNIT_ASSERT(SidecarWorld::Find<Finished>(world.Step(report)) == nullptr);
+
+    // The check after it meets the process on its way out, and says nothing for sure either.
+    report.state = EngineState::Silent;
+    CPPUNIT_ASSERT(SidecarWorld::Find<Finished>(world.Step(report)) == nullptr);
+
+    report.state = EngineState::Gone;
+    const auto* finished = SidecarWorld::Find<Finished>(world.Step(report));
+    CPPUNIT_ASSERT(finished && finished->targetDied);
+
+    // An engine that stays silent is not waited for without end.
+    SidecarWorld paused;
+    paused.Run(1000);
+    ended.run = paused.runs.back().run;
+    paused.Step(ended);
+    report.state = EngineState::Silent;
+    finished = nullptr;
+    for (int i = 0; i < 4 && !finished; ++i) {
+      finished = SidecarWorld::Find<Finished>(paused.Step(report));
+    }
+    CPPUNIT_ASSERT(finished && !finished->targetDied);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SidecarReducerTest);
