Keep streams with short pauses together, and count reading as open until its first event

Change: short prompts go to engines of their kind up to three quarters of the slots, long ones weigh their delay against the pauses that they cause, unread work stays in the book, and a lost VM is found by keep-alive instead of silence.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -265,8 +265,10 @@
 {
   std::string instance;
   std::uint32_t running = 0;
+  std::uint32_t tight = 0;  // Of these, the ones whose pauses between events must be short.
   std::uint64_t memory = 0; // Tokens of KV cache.
   double readMs = 0;        // Reading that is left, in milliseconds.
+  double unreadMs = 0;      // Reading of requests that have shown no event yet.
 };
 
 // Entry to entries: my load where it has changed, or the whole of it.
--- a/include/sycamorepost/forward/LoadBook.h
+++ b/include/sycamorepost/forward/LoadBook.h
@@ -20,16 +20,20 @@
   double readMs = 0;        // Reading time that it adds there.
   std::uint64_t memory = 0; // Tokens of KV cache that it takes there.
   bool writes = false;      // It takes a slot; a helper only reads.
+  bool isTight = false;     // Its pauses between events must be short.
 };
 
 // What one entry has on one target.
 struct TargetLoad
 {
   std::uint32_t running = 0;
+  std::uint32_t tight = 0; // Of these, the ones whose pauses must be short.
   std::uint64_t memory = 0;
-  Instant readUntil; // When the reading that was placed there should be done.
+  Instant readUntil;   // When the reading that was placed there should be done.
+  double unreadMs = 0; // Reading of requests that have shown no event yet.
 
-  // Returns the reading time that is left in milliseconds.
+  // Returns the reading time that is left in milliseconds. What has shown no event is not done,
+  // though its time may have passed.
   double ReadMs(Instant aNow) const;
   bool Idle(Instant aNow) const { return this->running == 0 && this->ReadMs(aNow) <= 0; }
 };
@@ -39,8 +43,10 @@
 {
   std::string instance;
   std::uint32_t running = 0;
+  std::uint32_t tight = 0;
   std::uint64_t memory = 0;
   double readMs = 0;
+  double unreadMs = 0;
 };
 
 // The book.
@@ -49,6 +55,7 @@
 public:
   // Adds and removes the work of one request. The reading time passes by itself.
   void Place(const PlacedWork& aWork, Instant aNow);
+  void MarkRead(const PlacedWork& aWork, Instant aNow);
   void Remove(const PlacedWork& aWork, bool aWasRead, Instant aNow);
 
   // Takes what a peer says of its own load; what a silent peer said is dropped after a while.
--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/Placement.h
@@ -22,6 +22,9 @@
   const ServiceTraits* service = nullptr;
   std::uint32_t promptTokens = 0; // 0 for a plain call.
   std::uint32_t answerTokens = 0;
+  Duration objective{};        // The first event is on time within it.
+  Duration tightGap{};         // The shortest gap objective of all streams,
+  Duration looseGap{};         // and the shortest one well above it.
   Duration gapObjective{};     // The shortest pause that the engine's streams may show.
   std::set<std::string> tried; // Instances that are not to be used again.
   std::string domain;          // The entry's failure domain.
--- a/include/sycamorepost/forward/RouteTable.h
+++ b/include/sycamorepost/forward/RouteTable.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -119,8 +120,9 @@
   // Returns a service's traits, or null.
   const ServiceTraits* FindService(const std::string& aName) const;
 
-  // Returns the shortest gap objective of all streams.
-  Duration ShortestGap() const { return this->shortestGap; }
+  // Returns the shortest gap objective of all streams, and the shortest one well above it.
+  Duration ShortestGap() const;
+  Duration NextGap() const;
 
   std::size_t Routes() const { return this->routes.size(); }
   bool HasAccounts() const { return !this->accounts.empty(); }
@@ -130,7 +132,7 @@
 
 private:
   std::unordered_map<std::string, RouteRule> routes; // By lower-case host and prefix.
-  Duration shortestGap = std::chrono::seconds(1);
+  std::set<Duration> gaps;                           // The gap objectives of all streams.
   std::vector<RouteAccount> accounts;
   std::unordered_map<std::string, std::size_t> accountOfKey; // Index into accounts.
 };
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -127,7 +127,7 @@
 SYCAMOREPOST_WIRE(SpanHeld, attempt, index, held)
 SYCAMOREPOST_WIRE(SpanDone, attempt, index)
 SYCAMOREPOST_WIRE(SpanMoved, attempt, index, place)
-SYCAMOREPOST_WIRE(TargetShare, instance, running, memory, readMs)
+SYCAMOREPOST_WIRE(TargetShare, instance, running, tight, memory, readMs, unreadMs)
 SYCAMOREPOST_WIRE(EntryLoad, shares, whole, version)
 SYCAMOREPOST_WIRE(BreakNotice, fingerprint)
 
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -23,10 +23,15 @@
 // The shortest silence of a stream that is taken for a failure: an engine whose helper died stalls
 // for 1.5 s before it says so, and half of that leaves time to start anew.
 constexpr Duration kShortestGapBound = std::chrono::milliseconds(900);
-constexpr int kGapObjectives = 3; // Pauses on time that fit into a silence that is a failure.
+constexpr int kGapObjectives = 4; // Pauses on time that fit into a silence that is a failure.
 
-// The share of its time that a request may wait for a first answer before another target is tried.
-constexpr int kFirstEventShare = 3;
+// A plain call may take this share of the time that is left before another target is tried.
+constexpr int kFirstAnswerShare = 3;
+
+// A prompt that takes longer to read than this is not read again because of silence alone, unless
+// it lasts for a multiple of the objective: a connection to a VM that is gone breaks by itself.
+constexpr Duration kLongReading = std::chrono::milliseconds(150);
+constexpr int kSilentObjectives = 2;
 
 // With less time left than this no target could answer.
 constexpr Duration kShortestRemaining = std::chrono::milliseconds(5);
@@ -53,7 +58,10 @@
   ask.service = service;
   ask.promptTokens = aFlow.request.promptTokens;
   ask.answerTokens = aFlow.request.answerTokens;
-  ask.gapObjective = aFlow.table->ShortestGap();
+  ask.objective = aFlow.route->objective;
+  ask.gapObjective = aFlow.route->gapObjective;
+  ask.tightGap = aFlow.table->ShortestGap();
+  ask.looseGap = aFlow.table->NextGap();
   ask.tried = aFlow.tried;
   ask.domain = this->config.domain;
   Placement placement = Place(ask, this->targets, this->book, this->random, this->now);
@@ -145,13 +153,14 @@
 ForwardReducer::Impl::FirstEventBound(const Flow& aFlow) const
 {
   const Duration objective = aFlow.route->objective;
-  const Duration left = (aFlow.deadline - this->now) / kFirstEventShare;
   if (aFlow.route->kind != RouteKind::Stream) {
-    return std::min(left, objective * 2);
+    return std::min((aFlow.deadline - this->now) / kFirstAnswerShare, objective * 2);
   }
   const auto expected =
     std::chrono::microseconds(static_cast<std::int64_t>(aFlow.attempt->placement.firstMs * 1e3));
-  return expected + std::max({ kShortestGapBound, objective, left / 2 });
+  return expected + (expected > kLongReading
+                       ? std::max(kShortestGapBound, objective * kSilentObjectives)
+                       : kShortestGapBound);
 }
 
 // Takes silence for a failure only where another target may go on.
@@ -245,7 +254,11 @@
                 { "after_ms", std::to_string(AgeMs(aFlow.arrivedAt, this->now)) } },
               false);
   }
-  aFlow.attempt->delivered = true;
+  if (!std::exchange(aFlow.attempt->delivered, true)) {
+    for (const PlacedWork& work : aFlow.attempt->placement.works) {
+      this->book.MarkRead(work, this->now);
+    }
+  }
   this->effects.emplace_back(ContinueAnswer{ aFlow.request.handle, std::move(whole) });
   this->ArmStall(aFlow, std::max(kShortestGapBound, aFlow.route->gapObjective * kGapObjectives));
 }
--- a/src/core/forward/LoadBook.cpp
+++ b/src/core/forward/LoadBook.cpp
@@ -21,6 +21,9 @@
 // Failures of one target in a row before it is avoided: one may be the request's own fault.
 constexpr std::uint32_t kFailuresToAvoid = 2;
 
+// The share of reading that is late which still counts: on the average half of it is done.
+constexpr double kUnreadShare = 0.5;
+
 Duration
 FromMs(double aMs)
 {
@@ -32,9 +35,8 @@
 double
 TargetLoad::ReadMs(Instant aNow) const
 {
-  return this->readUntil <= aNow
-           ? 0
-           : std::chrono::duration<double, std::milli>(this->readUntil - aNow).count();
+  const double planned = std::chrono::duration<double, std::milli>(this->readUntil - aNow).count();
+  return std::max({ 0.0, planned, kUnreadShare * this->unreadMs });
 }
 
 void
@@ -42,8 +44,10 @@
 {
   TargetLoad& load = this->own[aWork.instance];
   load.running += aWork.writes ? 1 : 0;
+  load.tight += aWork.isTight ? 1 : 0;
   load.memory += aWork.memory;
   load.readUntil = std::max(load.readUntil, aNow) + FromMs(aWork.readMs);
+  load.unreadMs += aWork.readMs;
   this->changed.insert(aWork.instance);
 }
 
@@ -56,23 +60,40 @@
   }
   TargetLoad& load = found->second;
   load.running -= aWork.writes && load.running > 0 ? 1 : 0;
+  load.tight -= aWork.isTight && load.tight > 0 ? 1 : 0;
   load.memory -= std::min(load.memory, aWork.memory);
   if (!aWasRead) {
-    load.readUntil = std::max(aNow, load.readUntil - FromMs(aWork.readMs));
+    load.unreadMs = std::max(0.0, load.unreadMs - aWork.readMs);
+    load.readUntil = std::min(load.readUntil, aNow + FromMs(load.unreadMs));
   }
   this->changed.insert(aWork.instance);
 }
 
+void
+LoadBook::MarkRead(const PlacedWork& aWork, Instant aNow)
+{
+  const auto found = this->own.find(aWork.instance);
+  if (found == this->own.end()) {
+    return;
+  }
+  TargetLoad& load = found->second;
+  load.unreadMs = std::max(0.0, load.unreadMs - aWork.readMs);
+  load.readUntil = std::min(load.readUntil, aNow + FromMs(load.unreadMs));
+  this->changed.insert(aWork.instance);
+}
+
 void
 LoadBook::TakeTold(const std::string& aPeer, const std::vector<LoadTold>& aLoads, Instant aNow)
 {
   PeerLoads& peer = this->peers[aPeer];
   peer.heardAt = aNow;
   for (const LoadTold& told : aLoads) {
-    if (told.running == 0 && told.memory == 0 && told.readMs <= 0) {
+    if (told.running == 0 && told.memory == 0 && told.unreadMs <= 0) {
       peer.loads.erase(told.instance);
     } else {
-      peer.loads[told.instance] = { told.running, told.memory, aNow + FromMs(told.readMs) };
+      peer.loads[told.instance] = {
+        told.running, told.tight, told.memory, aNow + FromMs(told.readMs), told.unreadMs
+      };
     }
   }
 }
@@ -90,8 +111,9 @@
   std::vector<LoadTold> told;
   for (const std::string& instance : this->changed) {
     const TargetLoad& load = this->own[instance];
-    told.push_back({ instance, load.running, load.memory, load.ReadMs(aNow) });
-    if (load.Idle(aNow) && load.memory == 0) {
+    told.push_back(
+      { instance, load.running, load.tight, load.memory, load.ReadMs(aNow), load.unreadMs });
+    if (load.Idle(aNow) && load.unreadMs <= 0 && load.memory == 0) {
       this->own.erase(instance);
     }
   }
@@ -104,7 +126,8 @@
 {
   std::vector<LoadTold> told;
   for (const auto& [instance, load] : this->own) {
-    told.push_back({ instance, load.running, load.memory, load.ReadMs(aNow) });
+    told.push_back(
+      { instance, load.running, load.tight, load.memory, load.ReadMs(aNow), load.unreadMs });
   }
   return told;
 }
@@ -118,6 +141,8 @@
     const auto found = aLoads.find(aInstance);
     if (found != aLoads.end()) {
       sum.running += found->second.running;
+      sum.tight += found->second.tight;
+      sum.unreadMs += found->second.unreadMs;
       sum.memory += found->second.memory;
       readMs += found->second.ReadMs(aNow);
     }
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -1,7 +1,7 @@
 #include "sycamorepost/forward/Placement.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 #include "sycamorepost/forward/EngineEstimate.h"
 
@@ -12,9 +12,34 @@
 // The protocol's bound on helpers of one request.
 constexpr std::size_t kMaxHelpers = 16;
 
-// A part may take this share of the shortest pause that is on time; the rest is for the pass itself
-// and for one other part in the same pass.
-constexpr double kPartShare = 0.5;
+// A request is short when its reading takes less than this share of the tightest pause: two of them
+// and a pass fit into one pause.
+constexpr double kShortShare = 0.5;
+
+// Streams whose pauses must be short are kept together on few engines, so that long prompts are
+// read on the others. Up to this share of an engine's slots they come there for nothing; the rest
+// of the slots is for what other entries place at the same moment.
+constexpr double kTightShare = 0.75;
+
+// What it costs a short request to open another engine for its kind, in milliseconds: as much as
+// two other short prompts that are read before it.
+constexpr double kOpenMs = 60;
+
+// What each tight stream beyond its share costs, in milliseconds.
+constexpr double kCrowdMs = 20;
+
+// How far each tight stream on an engine moves it back among those that may read a long prompt, in
+// milliseconds.
+constexpr double kTightMs = 40;
+
+// A long prompt of this many tokens is worth as much as one short request.
+constexpr double kTokensPerWorth = 7000;
+
+// The share of a pause, or of a first event's objective, from which on it may turn out late.
+constexpr double kRiskFrom = 0.6;
+
+// What each further helper costs: two orders' worth of calls, in units of a short request.
+constexpr double kHelperWorth = 0.02;
 
 // The part of an engine's memory that one prompt may take without reserving memory elsewhere: half
 // is left for a full batch of usual prompts.
@@ -41,7 +66,8 @@
 {
   const RegisteredTarget* target = nullptr;
   TargetLoad load;
-  double readMs = 0;
+  double readMs = 0; // Reading that is left there.
+  double waitMs = 0; // Until it begins to read something new.
   double cost = 0;
 };
 
@@ -101,19 +127,10 @@
   Placement placement;
   placement.end = PlacementEnd::Placed;
   placement.target = *aCandidates.front().target;
-  placement.works.push_back({ placement.target.instance, 0, 0, true });
+  placement.works.push_back({ placement.target.instance, 0, 0, true, false });
   return placement;
 }
 
-std::size_t
-CountParts(const PlacementAsk& aAsk, double aReadMs, std::size_t aCandidates)
-{
-  const double gapMs = std::chrono::duration<double, std::milli>(aAsk.gapObjective).count();
-  const double partMs = std::max(1.0, gapMs * kPartShare);
-  const auto parts = static_cast<std::size_t>(std::ceil(aReadMs / partMs));
-  return std::clamp<std::size_t>(parts, 1, std::min(aCandidates, kMaxHelpers + 1));
-}
-
 // The time until an engine begins to read something new, and what waiting for a place adds.
 double
 WaitMs(const EngineTraits& aTraits, const Candidate& aCandidate)
@@ -128,19 +145,35 @@
   return wait;
 }
 
-// Puts the engine that writes first: of those chosen, the one with the most room.
+double
+ToMs(Duration aSpan)
+{
+  return std::chrono::duration<double, std::milli>(aSpan).count();
+}
+
+// The chance that something that takes a time misses its bound: 0 up to some way before it, 1 at a
+// time that is as far beyond it.
+double
+RiskOf(double aMs, double aBoundMs)
+{
+  const double from = kRiskFrom * aBoundMs;
+  return std::clamp((aMs - from) / (2 * (1 - kRiskFrom) * aBoundMs), 0.0, 1.0);
+}
+
+// Puts the engine that writes first: of those chosen, the one with the fewest tight streams and the
+// most room.
 void
 PutWriterFirst(std::vector<Candidate>& aChosen, const EngineTraits& aTraits)
 {
-  const auto room = [&aTraits](const Candidate& aCandidate) {
+  const auto rank = [&aTraits](const Candidate& aCandidate) {
     const double slots = static_cast<double>(aCandidate.load.running) / aTraits.slots;
     const double memory = static_cast<double>(aCandidate.load.memory) /
                           std::max<double>(1, static_cast<double>(aTraits.memoryTokens));
-    return std::max(slots, memory);
+    return std::pair(std::max(slots, memory) >= 1, aCandidate.load.tight + 16 * memory);
   };
   const auto best = std::min_element(
     aChosen.begin(), aChosen.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
-      return room(aLeft) < room(aRight);
+      return rank(aLeft) < rank(aRight);
     });
   std::iter_swap(aChosen.begin(), best);
 }
@@ -178,6 +211,98 @@
   return own <= std::max(0.0, freeOf(aChosen.front()));
 }
 
+// What reading a part does to the streams of an engine, in short requests that it makes late.
+double
+HarmOf(const PlacementAsk& aAsk,
+       const EngineTraits& aTraits,
+       const Candidate& aCandidate,
+       double aPartMs)
+{
+  const double pause =
+    EstimatePassMs(aTraits, aCandidate.load.running, static_cast<double>(aCandidate.load.memory)) +
+    aCandidate.readMs + aPartMs;
+  const double others =
+    aCandidate.load.running - std::min(aCandidate.load.running, aCandidate.load.tight);
+  return aCandidate.load.tight * RiskOf(pause, ToMs(aAsk.tightGap)) +
+         others * RiskOf(pause, ToMs(aAsk.looseGap));
+}
+
+double
+FirstEventMs(const PlacementAsk& aAsk, const std::vector<Candidate>& aSorted, std::size_t aParts)
+{
+  const EngineTraits& traits = *aAsk.service->engine;
+  double wait = 0;
+  for (std::size_t i = 0; i < aParts; ++i) {
+    wait = std::max(wait, aSorted[i].waitMs);
+  }
+  return wait + EstimateReadMs(traits, aAsk.promptTokens) / static_cast<double>(aParts) +
+         EstimatePassMs(traits, 1, aAsk.promptTokens);
+}
+
+// Returns the number of engines that should read a long prompt: what its own delay and the pauses
+// of others cost together is least.
+std::size_t
+CountParts(const PlacementAsk& aAsk, const std::vector<Candidate>& aSorted)
+{
+  const EngineTraits& traits = *aAsk.service->engine;
+  const double readMs = EstimateReadMs(traits, aAsk.promptTokens);
+  const double worth = aAsk.promptTokens / kTokensPerWorth;
+  const std::size_t most = std::min(aSorted.size(), kMaxHelpers + 1);
+  std::size_t best = 1;
+  double bestCost = std::numeric_limits<double>::max();
+  for (std::size_t parts = 1; parts <= most; ++parts) {
+    const double firstMs = FirstEventMs(aAsk, aSorted, parts);
+    const double objectiveMs = ToMs(aAsk.objective);
+    double cost = worth * (RiskOf(firstMs, objectiveMs) + firstMs / objectiveMs / 10) +
+                  kHelperWorth * static_cast<double>(parts);
+    for (std::size_t i = 0; i < parts; ++i) {
+      cost += HarmOf(aAsk, traits, aSorted[i], readMs / static_cast<double>(parts));
+    }
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = parts;
+    }
+  }
+  return best;
+}
+
+bool
+IsTight(const PlacementAsk& aAsk)
+{
+  return aAsk.gapObjective <= aAsk.tightGap;
+}
+
+// What it costs a short request to run on an engine, beside waiting there.
+double
+ShortCost(const EngineTraits& aTraits, const Candidate& aCandidate)
+{
+  const double most = kTightShare * aTraits.slots;
+  const double over = std::max(0.0, aCandidate.load.tight + 1 - most);
+  return over * kCrowdMs + (aCandidate.load.tight == 0 ? kOpenMs : 0);
+}
+
+// Fills in who reads, who writes and what it costs.
+Placement
+MakePlacement(const PlacementAsk& aAsk, const std::vector<Candidate>& aChosen, double aFirstMs)
+{
+  const EngineTraits& traits = *aAsk.service->engine;
+  const double partMs =
+    EstimateReadMs(traits, aAsk.promptTokens) / static_cast<double>(aChosen.size());
+  Placement placement;
+  placement.target = *aChosen.front().target;
+  placement.firstMs = aFirstMs;
+  placement.waitMs = aFirstMs;
+  for (const Candidate& candidate : aChosen) {
+    const bool writes = &candidate == &aChosen.front();
+    const RegisteredTarget& target = *candidate.target;
+    placement.works.push_back({ target.instance, partMs, 0, writes, writes && IsTight(aAsk) });
+    if (!writes) {
+      placement.helpers.push_back({ target.instance, target.address, 0 });
+    }
+  }
+  return placement;
+}
+
 Placement
 PlacePrompt(const PlacementAsk& aAsk,
             std::vector<Candidate> aCandidates,
@@ -185,41 +310,30 @@
             std::mt19937_64& aRandom)
 {
   const EngineTraits& traits = *aAsk.service->engine;
+  const bool isShort =
+    EstimateReadMs(traits, aAsk.promptTokens) <= kShortShare * ToMs(aAsk.tightGap);
   for (Candidate& candidate : aCandidates) {
-    candidate.cost = WaitMs(traits, candidate) + CommonCost(aAsk, candidate, aBook);
+    candidate.waitMs = WaitMs(traits, candidate);
+    candidate.cost = candidate.waitMs + CommonCost(aAsk, candidate, aBook) +
+                     (isShort ? ShortCost(traits, candidate) : candidate.load.tight * kTightMs);
   }
   SortByCost(aCandidates, aRandom);
-  const double readMs = EstimateReadMs(traits, aAsk.promptTokens);
   const std::uint64_t need = std::uint64_t{ aAsk.promptTokens } + aAsk.answerTokens;
-  std::size_t parts = CountParts(aAsk, readMs, aCandidates.size());
+  const std::size_t most = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
-  bool fits = false;
   // With too little memory on the engines that are free first, more of them are taken.
-  for (; !fits && parts <= std::min(aCandidates.size(), kMaxHelpers + 1); ++parts) {
+  for (std::size_t parts = isShort ? 1 : CountParts(aAsk, aCandidates); parts <= most; ++parts) {
     std::vector<Candidate> chosen(aCandidates.begin(),
                                   aCandidates.begin() + static_cast<std::ptrdiff_t>(parts));
     PutWriterFirst(chosen, traits);
-    placement = {};
-    placement.target = *chosen.front().target;
-    const double partMs = readMs / static_cast<double>(parts);
-    double last = 0;
-    for (const Candidate& candidate : chosen) {
-      const bool writes = &candidate == &chosen.front();
-      placement.works.push_back({ candidate.target->instance, partMs, 0, writes });
-      if (!writes) {
-        placement.helpers.push_back({ candidate.target->instance, candidate.target->address, 0 });
-      }
-      last = std::max(last, candidate.cost);
+    placement = MakePlacement(aAsk, chosen, FirstEventMs(aAsk, aCandidates, parts));
+    if (PlanMemory(traits, need, chosen, placement)) {
+      placement.end = PlacementEnd::Placed;
+      return placement;
     }
-    placement.firstMs = last + partMs + EstimatePassMs(traits, 1, aAsk.promptTokens);
-    fits = PlanMemory(traits, need, chosen, placement);
   }
-  const bool never = static_cast<double>(need) >
-                     kPlannedMemoryShare * static_cast<double>(traits.memoryTokens) *
-                       static_cast<double>(std::min(aCandidates.size(), kMaxHelpers + 1));
-  placement.end =
-    fits ? PlacementEnd::Placed : (never ? PlacementEnd::TooLarge : PlacementEnd::Full);
-  placement.waitMs = placement.firstMs;
+  const double all = kPlannedMemoryShare * static_cast<double>(traits.memoryTokens * most);
+  placement.end = static_cast<double>(need) > all ? PlacementEnd::TooLarge : PlacementEnd::Full;
   return placement;
 }
 
--- a/src/core/forward/RouteTable.cpp
+++ b/src/core/forward/RouteTable.cpp
@@ -40,7 +40,7 @@
 RouteTable::AddRoute(RouteRule aRoute)
 {
   if (aRoute.gapObjective > Duration::zero()) {
-    this->shortestGap = std::min(this->shortestGap, aRoute.gapObjective);
+    this->gaps.insert(aRoute.gapObjective);
   }
   std::string key = LowerHost(aRoute.host) + aRoute.pathPrefix;
   this->routes.emplace(std::move(key), std::move(aRoute));
@@ -85,6 +85,21 @@
   return found == this->services.end() ? nullptr : &found->second;
 }
 
+Duration
+RouteTable::ShortestGap() const
+{
+  // Without any stream there is nothing to keep short.
+  return this->gaps.empty() ? Duration(std::chrono::seconds(1)) : *this->gaps.begin();
+}
+
+Duration
+RouteTable::NextGap() const
+{
+  const Duration shortest = this->ShortestGap();
+  const auto next = this->gaps.upper_bound(shortest * 3 / 2);
+  return next == this->gaps.end() ? shortest : *next;
+}
+
 std::string
 RouteTable::Format() const
 {
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -2,6 +2,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <netinet/tcp.h>
+
 #include "net/Http.h"
 
 namespace sycamorepost {
@@ -41,6 +43,27 @@
   }
 }
 
+// Sends small requests at once, and has the kernel break a connection whose peer is gone: a VM that
+// does not answer for two seconds is not there.
+void
+SetLinkOptions(tcp::socket& aSocket)
+{
+  static constexpr int kProbeAfterSeconds = 1;
+  static constexpr int kProbes = 2;
+  static constexpr int kUnackedMs = 2000;
+  beast::error_code ignored; // Without an option the connection still works.
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  aSocket.set_option(Idle(kProbeAfterSeconds), ignored);
+  using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  aSocket.set_option(Interval(kProbeAfterSeconds), ignored);
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  aSocket.set_option(Count(kProbes), ignored);
+  using Unacked = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  aSocket.set_option(Unacked(kUnackedMs), ignored);
+}
+
 // Opens the connection; on failure sets the reply's reason.
 asio::awaitable<bool>
 Connect(beast::tcp_stream& aStream, const HttpCall& aCall, HttpReply& aReply)
@@ -56,8 +79,7 @@
     aReply.reason = error.message();
     co_return false;
   }
-  beast::error_code ignored; // Without the option the request is only slower.
-  aStream.socket().set_option(tcp::no_delay(true), ignored);
+  SetLinkOptions(aStream.socket());
   aStream.expires_after(aCall.timeout);
   co_return true;
 }
--- a/src/runtime/DecisionLog.cpp
+++ b/src/runtime/DecisionLog.cpp
@@ -16,28 +16,26 @@
 // At 400 bytes a line this is about a second of failures of an entry at the target load.
 constexpr std::size_t kMostWaiting = 256 * 1024;
 
-// One request in this many has its successes logged.
-constexpr std::uint64_t kSampleOneIn = 64;
-
-bool
-IsKept(const LogDecision& aDecision)
-{
-  return aDecision.isFailure || aDecision.requestId.empty() ||
-         RendezvousWeight(0, aDecision.requestId) % kSampleOneIn == 0;
-}
-
 } // namespace
 
-DecisionLog::DecisionLog(std::string aProcess, int aDescriptor)
+DecisionLog::DecisionLog(std::string aProcess, std::uint32_t aSampleOneIn, int aDescriptor)
   : process(std::move(aProcess))
+  , sampleOneIn(aSampleOneIn)
   , descriptor(aDescriptor)
 {
 }
 
+bool
+DecisionLog::IsKept(const LogDecision& aDecision) const
+{
+  return aDecision.isFailure || aDecision.requestId.empty() ||
+         RendezvousWeight(0, aDecision.requestId) % this->sampleOneIn == 0;
+}
+
 void
 DecisionLog::Write(const LogDecision& aDecision, std::int64_t aUnixMs)
 {
-  if (!IsKept(aDecision)) {
+  if (!this->IsKept(aDecision)) {
     return;
   }
   nlohmann::ordered_json line{ { "ts_ms", aUnixMs },
--- a/src/runtime/DecisionLog.h
+++ b/src/runtime/DecisionLog.h
@@ -14,7 +14,7 @@
 class DecisionLog
 {
 public:
-  explicit DecisionLog(std::string aProcess, int aDescriptor = 1);
+  DecisionLog(std::string aProcess, std::uint32_t aSampleOneIn, int aDescriptor = 1);
 
   // Adds a line. Lines that tell of no failure are kept for one request in a few; all processes
   // keep those of the same requests.
@@ -27,7 +27,10 @@
   std::size_t Waiting() const { return this->buffer.size(); }
 
 private:
+  bool IsKept(const LogDecision& aDecision) const;
+
   std::string process;
+  std::uint32_t sampleOneIn; // One request in this many has its successes logged.
   int descriptor;
   std::string buffer;
   std::uint64_t dropped = 0;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -52,7 +52,7 @@
   : settings(std::move(aSettings))
   , settingsPath(std::move(aSettingsPath))
   , incarnation(MakeIncarnation())
-  , log(this->settings.name)
+  , log(this->settings.name, this->settings.logSample)
   , reducer(ForwardConfig{ .name = this->settings.name,
                            .domain = this->settings.domain,
                            .seed = this->incarnation,
@@ -251,7 +251,12 @@
   load.whole = aTell.whole;
   load.version = this->table ? this->table->version : 0;
   for (LoadTold& told : aTell.loads) {
-    load.shares.push_back({ std::move(told.instance), told.running, told.memory, told.readMs });
+    load.shares.push_back({ std::move(told.instance),
+                            told.running,
+                            told.tight,
+                            told.memory,
+                            told.readMs,
+                            told.unreadMs });
   }
   this->SendToPeers(load);
 }
@@ -400,7 +405,8 @@
   if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
     PeerLoadTold told{ aEnvelope.from, {}, load->whole };
     for (const TargetShare& share : load->shares) {
-      told.loads.push_back({ share.instance, share.running, share.memory, share.readMs });
+      told.loads.push_back(
+        { share.instance, share.running, share.tight, share.memory, share.readMs, share.unreadMs });
     }
     this->Step(told);
     if (load->version > this->follower.Version()) {
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -259,6 +259,7 @@
 ParseForwardSettings(const std::string& aText, std::vector<SettingsError>& aErrors)
 {
   static constexpr std::int64_t kMostDescriptors = 1'000'000;
+  static constexpr std::int64_t kMostSample = 1'000'000;
   const auto root = ParseToml(aText, aErrors);
   if (!root) {
     return std::nullopt;
@@ -274,6 +275,7 @@
   forward.Address("store_address", settings.storeAddress);
   forward.Span("drain_delay", settings.drainDelay);
   forward.Count("descriptors", settings.descriptors, 256, kMostDescriptors);
+  forward.Count("log_sample", settings.logSample, 1, kMostSample);
   forward.Number("retry_ratio", settings.retryRatio);
   forward.Number("retry_slack", settings.retrySlack);
   forward.Span("retry_window", settings.retryWindow);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -44,7 +44,8 @@
   std::string storeAddress; // The platform's store.
   Duration drainDelay = std::chrono::milliseconds(2500); // Two checks of the balancer and a half.
   std::uint32_t descriptors = 4096;                      // That the process may open.
-  double retryRatio = 0.2;                               // See ForwardConfig.
+  std::uint32_t logSample = 64; // One request in this many has its successes logged.
+  double retryRatio = 0.2;      // See ForwardConfig.
   double retrySlack = 20;
   Duration retryWindow = std::chrono::seconds(10);
   Duration reservationLease = std::chrono::seconds(3);
