--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -106,6 +106,7 @@
 struct PeerLoadTold
 {
   std::string peer;
+  std::uint64_t incarnation = 0; // Changes at each start of the peer.
   std::vector<LoadTold> loads;
   bool whole = false; // What is not named is idle.
 };
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -20,9 +20,9 @@
 // Placements of one request in all, whatever became of them.
 constexpr std::uint32_t kMaxPlacements = 8;
 
-// The shortest silence of a stream that is taken for a failure: an engine whose helper died stalls
-// for 1.5 s before it says so, and half of that leaves time to start anew.
-constexpr Duration kShortestGapBound = std::chrono::milliseconds(900);
+// The shortest silence of a stream that is taken for a failure: a pass with much reading takes up
+// to a second, and callers wait for two.
+constexpr Duration kShortestGapBound = std::chrono::milliseconds(1400);
 constexpr int kGapObjectives = 4; // Pauses on time that fit into a silence that is a failure.
 
 // A plain call may take this share of the time that is left before another target is tried.
@@ -190,7 +190,10 @@
     if (aHead.misdirected) {
       this->book.NoteUnreachable(instance, this->now);
     }
-    this->NotExecuted(*flow, "the target answered " + status + " and did not run the request");
+    const std::string fault =
+      aHead.faultyAddress.empty() ? "" : ", at fault " + aHead.faultyAddress;
+    this->NotExecuted(*flow,
+                      "the target answered " + status + " and did not run the request" + fault);
     return;
   }
   if (aHead.otherRequest || (!aHead.isSigned && aHead.status / 100 != 4) ||
@@ -205,6 +208,7 @@
     this->FailAttempt(*flow, "the target answered " + status, true);
     return;
   }
+  this->heardAt[instance] = this->now;
   flow->attempt->status = aHead.status;
   flow->attempt->fields = aHead.fields;
   flow->attempt->isStream = flow->route->kind == RouteKind::Stream && aHead.status == 200;
@@ -217,6 +221,7 @@
   if (!flow || !flow->attempt->status) {
     return;
   }
+  this->heardAt[flow->attempt->placement.target.instance] = this->now;
   if (flow->attempt->isStream) {
     this->DeliverEvents(*flow, aData.bytes);
   } else {
@@ -373,6 +378,8 @@
             "not-executed",
             { { "target", instance },
               { "reason", aReason },
+              { "helpers", std::to_string(aFlow.attempt->placement.helpers.size()) },
+              { "running", std::to_string(this->book.LoadOf(instance, this->now).running) },
               { "age_ms", std::to_string(AgeMs(aFlow.attempt->startedAt, this->now)) } },
             true);
   this->CloseAttempt(aFlow, true);
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -153,7 +153,13 @@
   std::shared_ptr<const RouteTable> table; // Null until one is known.
   std::map<std::string, RegisteredTarget> targets;
   LoadBook book;
-  std::map<std::string, Instant> peers;       // When each peer was heard last.
+  struct KnownPeer
+  {
+    std::uint64_t incarnation = 0;
+    Instant heardAt;
+  };
+  std::map<std::string, KnownPeer> peers;
+  std::map<std::string, Instant> heardAt;     // When each target sent something last.
   std::map<std::string, RetryBudget> budgets; // By service.
   struct Breaks
   {
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -24,6 +24,10 @@
 // With fewer entries heard than this, as many are assumed: some may not have been heard yet.
 constexpr std::size_t kAssumedEntries = 6;
 
+// A target that has sent something within this time is alive: a pass with much reading takes as
+// long.
+constexpr Duration kBusyBound = std::chrono::milliseconds(700);
+
 // How long a request that broke off is remembered: a caller's last repeat comes within its timeout.
 constexpr Duration kBreakMemory = std::chrono::seconds(60);
 
@@ -66,6 +70,7 @@
     // One that has started anew under its old name holds nothing of before.
     if (gone || found->second.startedAtMs != target.startedAtMs) {
       this->book.Forget(instance);
+      this->heardAt.erase(instance);
     }
   }
   this->targets = aChanged.targets;
@@ -74,12 +79,14 @@
 void
 ForwardReducer::Impl::OnEvent(const PeerLoadTold& aTold)
 {
-  if (!this->peers.contains(aTold.peer)) {
-    // A new peer knows nothing of this entry's load yet.
+  const auto known = this->peers.find(aTold.peer);
+  const bool isNew = known == this->peers.end() || known->second.incarnation != aTold.incarnation;
+  if (isNew) {
+    // One that has just started knows nothing of this entry's load yet, and has none of before.
     this->effects.emplace_back(TellLoad{ this->book.Snapshot(this->now), true });
   }
-  this->peers[aTold.peer] = this->now;
-  if (aTold.whole) {
+  this->peers[aTold.peer] = { aTold.incarnation, this->now };
+  if (aTold.whole || isNew) {
     this->book.ForgetPeer(aTold.peer);
   }
   this->book.TakeTold(aTold.peer, aTold.loads, this->now);
@@ -128,7 +135,7 @@
     this->houseAt = this->now + kHouseEvery;
     this->book.ForgetSilentPeers(this->now);
     std::erase_if(this->peers,
-                  [this](const auto& aPeer) { return aPeer.second + kPeerGone < this->now; });
+                  [this](const auto& aPeer) { return aPeer.second.heardAt + kPeerGone < this->now; });
     std::erase_if(this->breaks,
                   [this](const auto& aBreak) { return aBreak.second.until < this->now; });
     for (auto& [service, budget] : this->budgets) {
@@ -146,6 +153,12 @@
 ForwardReducer::Impl::OnStall(Flow& aFlow)
 {
   const std::string& instance = aFlow.attempt->placement.target.instance;
+  // A target that sends to other callers is busy, not gone.
+  const auto heard = this->heardAt.find(instance);
+  if (heard != this->heardAt.end() && heard->second + kBusyBound > this->now) {
+    this->ArmStall(aFlow, heard->second + kBusyBound - this->now);
+    return;
+  }
   aFlow.stallAt = Instant::max();
   // Another target can go on only when one is left and the budget allows it.
   const bool other =
@@ -316,8 +329,8 @@
         { "reservations", flow.reservations.size() },
         { "target", flow.attempt ? flow.attempt->placement.target.instance : "" } });
   }
-  for (const auto& [peer, heardAt] : this->peers) {
-    dump["peers"][peer] = { { "heard_ms_ago", ToMillis(aNow - heardAt) } };
+  for (const auto& [name, peer] : this->peers) {
+    dump["peers"][name] = { { "heard_ms_ago", ToMillis(aNow - peer.heardAt) } };
   }
   for (const auto& [service, budget] : this->budgets) {
     dump["retry_budget"][service] = budget.Level();
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -32,12 +32,24 @@
 // milliseconds.
 constexpr double kTightMs = 40;
 
+// The same for each unit of what its other streams are worth.
+constexpr double kLooseMs = 15;
+
+// What a full memory costs an engine that is to write, in milliseconds: about ten passes in which
+// something else is put out of it.
+constexpr double kMemoryMs = 500;
+
 // A long prompt of this many tokens is worth as much as one short request.
 constexpr double kTokensPerWorth = 7000;
 
 // The share of a pause, or of a first event's objective, from which on it may turn out late.
 constexpr double kRiskFrom = 0.6;
 
+// The share of an answer's worth that is lost when its first event is late, and the multiple of the
+// objective after which callers have gone.
+constexpr double kOnTimeShare = 0.75;
+constexpr double kPatience = 3;
+
 // What each further helper costs: two orders' worth of calls, in units of a short request.
 constexpr double kHelperWorth = 0.02;
 
@@ -160,22 +172,39 @@
   return std::clamp((aMs - from) / (2 * (1 - kRiskFrom) * aBoundMs), 0.0, 1.0);
 }
 
-// Puts the engine that writes first: of those chosen, the one with the fewest tight streams and the
-// most room.
+// Returns what the streams of an engine beside the tight ones are worth, in short requests: their
+// prompts lie in its memory.
+double
+LooseWorth(const Candidate& aCandidate)
+{
+  if (aCandidate.load.running <= aCandidate.load.tight) {
+    return 0;
+  }
+  return std::max(
+    1.0, static_cast<double>(aCandidate.load.memory) / kTokensPerWorth - aCandidate.load.tight);
+}
+
+// What it costs a long request to write on an engine, in milliseconds: there should be room and no
+// tight stream, and streams of its own kind rather than an engine that only reads.
+double
+WriterCost(const EngineTraits& aTraits, const Candidate& aCandidate)
+{
+  const double memory = static_cast<double>(aCandidate.load.memory) /
+                        std::max<double>(1, static_cast<double>(aTraits.memoryTokens));
+  const bool hasOwnKind = aCandidate.load.running > aCandidate.load.tight;
+  return aCandidate.waitMs + aCandidate.load.tight * kTightMs + memory * kMemoryMs -
+         (hasOwnKind ? kOpenMs : 0);
+}
+
+// Puts the engine that writes first and sorts the rest by what it costs to read there.
 void
-PutWriterFirst(std::vector<Candidate>& aChosen, const EngineTraits& aTraits)
+PutWriterFirst(std::vector<Candidate>& aCandidates, const EngineTraits& aTraits)
 {
-  const auto rank = [&aTraits](const Candidate& aCandidate) {
-    const double slots = static_cast<double>(aCandidate.load.running) / aTraits.slots;
-    const double memory = static_cast<double>(aCandidate.load.memory) /
-                          std::max<double>(1, static_cast<double>(aTraits.memoryTokens));
-    return std::pair(std::max(slots, memory) >= 1, aCandidate.load.tight + 16 * memory);
-  };
   const auto best = std::min_element(
-    aChosen.begin(), aChosen.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
-      return rank(aLeft) < rank(aRight);
+    aCandidates.begin(), aCandidates.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
+      return WriterCost(aTraits, aLeft) < WriterCost(aTraits, aRight);
     });
-  std::iter_swap(aChosen.begin(), best);
+  std::rotate(aCandidates.begin(), best, best + 1);
 }
 
 // Spreads the memory of a large prompt over reservations; returns false when it does not fit.
@@ -221,10 +250,8 @@
   const double pause =
     EstimatePassMs(aTraits, aCandidate.load.running, static_cast<double>(aCandidate.load.memory)) +
     aCandidate.readMs + aPartMs;
-  const double others =
-    aCandidate.load.running - std::min(aCandidate.load.running, aCandidate.load.tight);
   return aCandidate.load.tight * RiskOf(pause, ToMs(aAsk.tightGap)) +
-         others * RiskOf(pause, ToMs(aAsk.looseGap));
+         LooseWorth(aCandidate) * RiskOf(pause, ToMs(aAsk.looseGap));
 }
 
 double
@@ -253,7 +280,8 @@
   for (std::size_t parts = 1; parts <= most; ++parts) {
     const double firstMs = FirstEventMs(aAsk, aSorted, parts);
     const double objectiveMs = ToMs(aAsk.objective);
-    double cost = worth * (RiskOf(firstMs, objectiveMs) + firstMs / objectiveMs / 10) +
+    double cost = worth * (kOnTimeShare * RiskOf(firstMs, objectiveMs) +
+                           (1 - kOnTimeShare) * RiskOf(firstMs, kPatience * objectiveMs)) +
                   kHelperWorth * static_cast<double>(parts);
     for (std::size_t i = 0; i < parts; ++i) {
       cost += HarmOf(aAsk, traits, aSorted[i], readMs / static_cast<double>(parts));
@@ -315,9 +343,13 @@
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
     candidate.cost = candidate.waitMs + CommonCost(aAsk, candidate, aBook) +
-                     (isShort ? ShortCost(traits, candidate) : candidate.load.tight * kTightMs);
+                     (isShort ? ShortCost(traits, candidate)
+                              : candidate.load.tight * kTightMs + LooseWorth(candidate) * kLooseMs);
   }
   SortByCost(aCandidates, aRandom);
+  if (!isShort) {
+    PutWriterFirst(aCandidates, traits);
+  }
   const std::uint64_t need = std::uint64_t{ aAsk.promptTokens } + aAsk.answerTokens;
   const std::size_t most = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
@@ -325,7 +357,6 @@
   for (std::size_t parts = isShort ? 1 : CountParts(aAsk, aCandidates); parts <= most; ++parts) {
     std::vector<Candidate> chosen(aCandidates.begin(),
                                   aCandidates.begin() + static_cast<std::ptrdiff_t>(parts));
-    PutWriterFirst(chosen, traits);
     placement = MakePlacement(aAsk, chosen, FirstEventMs(aAsk, aCandidates, parts));
     if (PlanMemory(traits, need, chosen, placement)) {
       placement.end = PlacementEnd::Placed;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -403,7 +403,7 @@
 ForwardDaemon::OnMessage(const Envelope& aEnvelope)
 {
   if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
-    PeerLoadTold told{ aEnvelope.from, {}, load->whole };
+    PeerLoadTold told{ aEnvelope.from, aEnvelope.fromIncarnation, {}, load->whole };
     for (const TargetShare& share : load->shares) {
       told.loads.push_back(
         { share.instance, share.running, share.tight, share.memory, share.readMs, share.unreadMs });
