--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -22,7 +22,7 @@
 
 // The shortest silence of a stream that is taken for a failure: a pass with much reading takes up
 // to a second, and callers wait for two.
-constexpr Duration kShortestGapBound = std::chrono::milliseconds(1400);
+constexpr Duration kShortestGapBound = std::chrono::milliseconds(900);
 constexpr int kGapObjectives = 4; // Pauses on time that fit into a silence that is a failure.
 
 // A plain call may take this share of the time that is left before another target is tried.
@@ -33,6 +33,13 @@
 constexpr Duration kLongReading = std::chrono::milliseconds(150);
 constexpr int kSilentObjectives = 2;
 
+// How many objectives a caller may wait that was sent away before: callers leave after about twice
+// as long.
+constexpr int kReturnedObjectives = 3;
+
+// How long a refused request is known: callers come back within a third of their time.
+constexpr Duration kRefusalMemory = std::chrono::seconds(5);
+
 // With less time left than this no target could answer.
 constexpr Duration kShortestRemaining = std::chrono::milliseconds(5);
 
@@ -76,9 +83,10 @@
   }
   const Duration first =
     std::chrono::microseconds(static_cast<std::int64_t>(placement.firstMs * 1e3));
-  if (first > remaining) {
-    aFlow.busyFor = first - remaining;
-    this->GiveUp(aFlow, "the first event would come after the deadline");
+  if (first > std::min(remaining, this->LongestWait(aFlow))) {
+    aFlow.busyFor = first;
+    this->refused[aFlow.request.fingerprint] = this->now + kRefusalMemory;
+    this->GiveUp(aFlow, "the first event would come too late");
     return;
   }
   if (!this->Reserve(aFlow, placement)) {
@@ -86,6 +94,22 @@
   }
 }
 
+// Returns how long a request may wait for its first event. In a standing queue every caller would
+// be late: a few are sent away so that the others are on time. Who comes back has waited already
+// and may wait longer.
+Duration
+ForwardReducer::Impl::LongestWait(const Flow& aFlow) const
+{
+  const Duration objective = aFlow.route->objective;
+  const bool started = aFlow.arrivals > 0 || aFlow.headSent;
+  if (aFlow.route->kind != RouteKind::Stream || started) {
+    return Duration::max();
+  }
+  const auto refusal = this->refused.find(aFlow.request.fingerprint);
+  const bool returned = refusal != this->refused.end() && refusal->second > this->now;
+  return objective * (returned ? kReturnedObjectives : 1);
+}
+
 void
 ForwardReducer::Impl::LaunchPlaced(Flow& aFlow, Placement aPlacement)
 {
@@ -208,7 +232,6 @@
     this->FailAttempt(*flow, "the target answered " + status, true);
     return;
   }
-  this->heardAt[instance] = this->now;
   flow->attempt->status = aHead.status;
   flow->attempt->fields = aHead.fields;
   flow->attempt->isStream = flow->route->kind == RouteKind::Stream && aHead.status == 200;
@@ -221,7 +244,6 @@
   if (!flow || !flow->attempt->status) {
     return;
   }
-  this->heardAt[flow->attempt->placement.target.instance] = this->now;
   if (flow->attempt->isStream) {
     this->DeliverEvents(*flow, aData.bytes);
   } else {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -114,6 +114,7 @@
   void LaunchPlaced(internal::Flow& aFlow, Placement aPlacement);
   std::uint32_t UrgencyOf(const internal::Flow& aFlow) const;
   void ArmStall(internal::Flow& aFlow, Duration aBound);
+  Duration LongestWait(const internal::Flow& aFlow) const;
   Duration FirstEventBound(const internal::Flow& aFlow) const;
   internal::Flow* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::Flow& aFlow, bool aCancel);
@@ -159,14 +160,14 @@
     Instant heardAt;
   };
   std::map<std::string, KnownPeer> peers;
-  std::map<std::string, Instant> heardAt;     // When each target sent something last.
   std::map<std::string, RetryBudget> budgets; // By service.
   struct Breaks
   {
     std::uint32_t count = 0;
     Instant until;
   };
-  std::map<std::uint64_t, Breaks> breaks;              // By fingerprint.
+    std::map<std::uint64_t, Breaks> breaks; // By fingerprint.
+  std::map<std::uint64_t, Instant> refused; // Until when a refused fingerprint is known.
   std::set<std::pair<Instant, std::uint64_t>> timers;  // Flows by wake.
   std::map<std::uint64_t, std::uint64_t> attemptOwner; // Handle by attempt.
   std::map<std::uint64_t, std::uint64_t> orderOwner;   // Handle by order.
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -24,10 +24,6 @@
 // With fewer entries heard than this, as many are assumed: some may not have been heard yet.
 constexpr std::size_t kAssumedEntries = 6;
 
-// A target that has sent something within this time is alive: a pass with much reading takes as
-// long.
-constexpr Duration kBusyBound = std::chrono::milliseconds(700);
-
 // How long a request that broke off is remembered: a caller's last repeat comes within its timeout.
 constexpr Duration kBreakMemory = std::chrono::seconds(60);
 
@@ -70,7 +66,6 @@
     // One that has started anew under its old name holds nothing of before.
     if (gone || found->second.startedAtMs != target.startedAtMs) {
       this->book.Forget(instance);
-      this->heardAt.erase(instance);
     }
   }
   this->targets = aChanged.targets;
@@ -134,10 +129,13 @@
   if (this->now >= this->houseAt) {
     this->houseAt = this->now + kHouseEvery;
     this->book.ForgetSilentPeers(this->now);
-    std::erase_if(this->peers,
-                  [this](const auto& aPeer) { return aPeer.second.heardAt + kPeerGone < this->now; });
+    std::erase_if(this->peers, [this](const auto& aPeer) {
+      return aPeer.second.heardAt + kPeerGone < this->now;
+    });
     std::erase_if(this->breaks,
                   [this](const auto& aBreak) { return aBreak.second.until < this->now; });
+    std::erase_if(this->refused,
+                  [this](const auto& aRefusal) { return aRefusal.second < this->now; });
     for (auto& [service, budget] : this->budgets) {
       budget.Configure(this->config.retryRatio, this->config.retrySlack, this->Entries());
     }
@@ -153,12 +151,6 @@
 ForwardReducer::Impl::OnStall(Flow& aFlow)
 {
   const std::string& instance = aFlow.attempt->placement.target.instance;
-  // A target that sends to other callers is busy, not gone.
-  const auto heard = this->heardAt.find(instance);
-  if (heard != this->heardAt.end() && heard->second + kBusyBound > this->now) {
-    this->ArmStall(aFlow, heard->second + kBusyBound - this->now);
-    return;
-  }
   aFlow.stallAt = Instant::max();
   // Another target can go on only when one is left and the budget allows it.
   const bool other =
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -19,21 +19,21 @@
 // Streams whose pauses must be short are kept together on few engines, so that long prompts are
 // read on the others. Up to this share of an engine's slots they come there for nothing; the rest
 // of the slots is for what other entries place at the same moment.
-constexpr double kTightShare = 0.75;
+constexpr double kTightShare = 0.6;
 
 // What it costs a short request to open another engine for its kind, in milliseconds: as much as
 // two other short prompts that are read before it.
 constexpr double kOpenMs = 60;
 
 // What each tight stream beyond its share costs, in milliseconds.
-constexpr double kCrowdMs = 20;
+constexpr double kCrowdMs = 40;
 
 // How far each tight stream on an engine moves it back among those that may read a long prompt, in
 // milliseconds.
-constexpr double kTightMs = 40;
+constexpr double kTightMs = 100;
 
 // The same for each unit of what its other streams are worth.
-constexpr double kLooseMs = 15;
+constexpr double kLooseMs = 30;
 
 // What a full memory costs an engine that is to write, in milliseconds: about ten passes in which
 // something else is put out of it.
@@ -68,6 +68,10 @@
 // Memory comes in blocks of this many tokens; a reservation is rounded up by one of them.
 constexpr std::uint64_t kBlockTokens = 16;
 
+// The passes until one of a full batch of usual streams ends: some thirty events each, over a batch
+// of some sixteen.
+constexpr double kPassesToPlace = 2;
+
 // The cost of a call across failure domains, in milliseconds: one round trip.
 constexpr double kDistanceMs = 10;
 
@@ -152,7 +156,7 @@
   double wait = aCandidate.readMs + pass / 2;
   if (writers >= aTraits.slots) {
     // Each request ahead in the queue needs a running one to end.
-    wait += (writers - aTraits.slots + 1) * 4 * pass;
+    wait += (writers - aTraits.slots + 1) * kPassesToPlace * pass;
   }
   return wait;
 }
