--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -33,9 +33,13 @@
 constexpr Duration kLongReading = std::chrono::milliseconds(150);
 constexpr int kSilentObjectives = 2;
 
-// How many objectives a caller may wait that was sent away before: callers leave after about twice
-// as long.
-constexpr int kReturnedObjectives = 3;
+// The share of its objective that a caller may be told to wait: the rest is for the error of the
+// forecast, which is about a quarter.
+constexpr double kFreshShare = 0.75;
+
+// How many objectives a caller may wait that was sent away before. It is late already, so only
+// callers' own patience bounds it, which is at least four objectives and two seconds.
+constexpr int kReturnedObjectives = 8;
 
 // How long a refused request is known: callers come back within a third of their time.
 constexpr Duration kRefusalMemory = std::chrono::seconds(5);
@@ -107,7 +111,8 @@
   }
   const auto refusal = this->refused.find(aFlow.request.fingerprint);
   const bool returned = refusal != this->refused.end() && refusal->second > this->now;
-  return objective * (returned ? kReturnedObjectives : 1);
+  return returned ? objective * kReturnedObjectives
+                  : std::chrono::duration_cast<Duration>(objective * kFreshShare);
 }
 
 void
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -166,8 +166,8 @@
     std::uint32_t count = 0;
     Instant until;
   };
-    std::map<std::uint64_t, Breaks> breaks; // By fingerprint.
-  std::map<std::uint64_t, Instant> refused; // Until when a refused fingerprint is known.
+  std::map<std::uint64_t, Breaks> breaks;              // By fingerprint.
+  std::map<std::uint64_t, Instant> refused;            // Until when a refused fingerprint is known.
   std::set<std::pair<Instant, std::uint64_t>> timers;  // Flows by wake.
   std::map<std::uint64_t, std::uint64_t> attemptOwner; // Handle by attempt.
   std::map<std::uint64_t, std::uint64_t> orderOwner;   // Handle by order.
