--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -102,7 +102,7 @@
     if (usable) {
       Candidate candidate{ .target = &target, .load = aBook.LoadOf(instance, aNow) };
       candidate.readMs = candidate.load.ReadMs(aNow);
-      candidates.push_back(std::move(candidate));
+      candidates.push_back(candidate);
     }
   }
   return candidates;
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -32,13 +32,13 @@
 {
   bool changed = false;
   std::vector<std::string> missing;
-  for (const auto& [instance, target] : this->targets) {
+  for (const auto& known : this->targets) {
     const bool listed =
-      std::any_of(aTargets.begin(), aTargets.end(), [&](const RegisteredTarget& aTarget) {
-        return aTarget.instance == instance;
+      std::any_of(aTargets.begin(), aTargets.end(), [&known](const RegisteredTarget& aTarget) {
+        return aTarget.instance == known.first;
       });
     if (!listed) {
-      missing.push_back(instance);
+      missing.push_back(known.first);
     }
   }
   for (const RegisteredTarget& target : aTargets) {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -70,7 +70,7 @@
       this->context,
       this->settings.storeAddress,
       { this->settings.name, this->settings.peerAddress },
-      { [this](std::shared_ptr<const RouteTable> aTable, const std::string& aText) {
+      { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
          this->OnRoutes(aTable, aText);
        },
         [this](const std::map<std::string, RegisteredTarget>& aTargets) {
--- /dev/null
+++ b/test/PlatformTest.cpp
@@ -0,0 +1,271 @@
+// What crosses the platform's border: the store's pages, configuration, registrations, header
+// fields, and the directory of targets while the store is away. The decoders are fuzzed.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include "platform/Decoders.h"
+#include "platform/RequestCodec.h"
+#include "platform/StoreClient.h"
+#include "runtime/DecisionLog.h"
+#include "runtime/Settings.h"
+#include "sycamorepost/forward/EventStream.h"
+
+namespace sycamorepost::platform {
+namespace {
+
+constexpr const char* kConfiguration =
+  R"({"Version":7,"Routes":[
+    {"Name":"r-1","Host":"a.example","PathPrefix":"/lo/","Kind":"streaming","TimeoutMs":10000,
+     "TargetLatencyMs":300,"Priority":1,"TrafficSplit":[{"Service":"s1","Weight":90},
+     {"Service":"s2","Weight":10}],"MaxAttempts":2,"Public":false,"Sticky":true,"Resumable":true,
+     "TargetGapMs":250},
+    {"Name":"r-2","Host":"a.example","PathPrefix":"/lo/deep/","Kind":"idempotent","Service":"s2",
+     "TimeoutMs":800,"TargetLatencyMs":120,"MaxAttempts":2,"Public":true},
+    {"Name":"r-3","Host":"a.example","PathPrefix":"/odd/","Kind":"sideways","Service":"s2"}],
+  "Services":[{"Name":"s1","MaxConns":364,"Engine":{"Slots":16,"KvCapacityTokens":315000,
+     "Stride":51,"step_ms":0.85,"per_seq_ms":0.004,"context_per_k":0.003,"read_per_s":177000.0,
+     "pairs_per_m":0.184}},{"Name":"s2","MaxConns":100}],
+  "Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+  "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":0}],"New":[1]})";
+
+constexpr const char* kRegistration =
+  R"({"Service":"s1","Address":"10.0.0.9:8080","Zone":"hobart","Version":"v1","Slots":16,)"
+  R"("State":"ready","ColdRemainingMs":0,"Seq":4,"born":1700000000000})";
+
+class PlatformTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformTest);
+  CPPUNIT_TEST(AConfigurationBecomesRoutes);
+  CPPUNIT_TEST(RegistrationsOfOthersAreSkipped);
+  CPPUNIT_TEST(DamagedBytesNeverStopADecoder);
+  CPPUNIT_TEST(TheStoresPagesAreCut);
+  CPPUNIT_TEST(HeaderFieldsAreTranslated);
+  CPPUNIT_TEST(TargetsThatLapseDuringAnOutageAreKeptForAWhile);
+  CPPUNIT_TEST(EventsAreCutWhereverTheBytesEnd);
+  CPPUNIT_TEST(TheLogNeitherBlocksNorGrows);
+  CPPUNIT_TEST(SettingsAreChecked);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AConfigurationBecomesRoutes()
+  {
+    std::string reason;
+    const auto table = DecodeConfiguration(kConfiguration, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason, table != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), table->version);
+
+    // The longest prefix wins; a host's case and port and a path's query do not matter.
+    CPPUNIT_ASSERT_EQUAL(std::string("r-1"),
+                         table->FindRoute("A.example:80", "/lo/x?q=/lo/deep/")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("r-2"), table->FindRoute("a.example", "/lo/deep/x")->name);
+    CPPUNIT_ASSERT(!table->FindRoute("a.example", "/lo"));
+    CPPUNIT_ASSERT(!table->FindRoute("b.example", "/lo/x"));
+
+    const RouteRule& stream = *table->FindRoute("a.example", "/lo/x");
+    CPPUNIT_ASSERT(stream.Repeatable());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.services.size());
+    CPPUNIT_ASSERT(table->ShortestGap() == std::chrono::milliseconds(250));
+
+    // What is not known is treated as what may run once.
+    CPPUNIT_ASSERT(!table->FindRoute("a.example", "/odd/x")->Repeatable());
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), table->FindKey("k2")->name);
+    CPPUNIT_ASSERT(!table->FindKey("k3"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), table->limits.bodyBytes);
+    CPPUNIT_ASSERT(!table->FindService("s2")->engine);
+    CPPUNIT_ASSERT_EQUAL(177.0, table->FindService("s1")->engine->readTokensPerMs);
+    CPPUNIT_ASSERT(table->Format().find("route r-1 host=a.example path=/lo/") == 0);
+    CPPUNIT_ASSERT(table->Format().find("# operator: version 7") != std::string::npos);
+  }
+
+  void RegistrationsOfOthersAreSkipped()
+  {
+    std::string reason;
+    const auto target = DecodeRegistration("i-1", kRegistration, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason, target.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1700000000000), target->startedAtMs);
+    for (const char* text :
+         { "",
+           "{}",
+           "[1]",
+           R"({"Service":1})",
+           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1})",
+           R"({"Service":"s","Address":"nowhere","Zone":"z","Slots":1,"State":"ready"})",
+           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"up"})" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, !DecodeRegistration("i-1", text, reason));
+    }
+  }
+
+  void DamagedBytesNeverStopADecoder()
+  {
+    const auto damage = [](std::string aText) {
+      const auto edits = *rc::gen::inRange(1, 6);
+      for (int i = 0; i < edits && !aText.empty(); ++i) {
+        aText[*rc::gen::inRange<std::size_t>(0, aText.size())] = *rc::gen::arbitrary<char>();
+      }
+      aText.resize(*rc::gen::inRange<std::size_t>(0, aText.size() + 1));
+      return aText;
+    };
+    const bool held = rc::check("decoders return on any bytes", [&] {
+      std::string reason;
+      std::string last;
+      bool more = false;
+      DecodeConfiguration(damage(kConfiguration), reason);
+      DecodeRegistration("i", damage(kRegistration), reason);
+      DecodeRawPage(damage(std::string(16, '\0') + EncodeRecord({ "key", "value" })), 0);
+      DecodeNewestPage(
+        damage(R"({"Entries":[{"Key":"k","Value":"YWI=","Offset":4}],"End":6})"), more, last);
+      EventStreamReader reader;
+      reader.Add(damage("id: 1\ndata: x\n\nid: 2\n\n"));
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  void TheStoresPagesAreCut()
+  {
+    const std::string ends = std::string(7, '\0') + "\x09" + std::string(8, '\0');
+    const auto page =
+      DecodeRawPage(ends + EncodeRecord({ "a", "one" }) + EncodeRecord({ "b", std::nullopt }), 7);
+    CPPUNIT_ASSERT(page.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), page->next);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), *page->records[0].value);
+    CPPUNIT_ASSERT(!page->records[1].value);
+    CPPUNIT_ASSERT(!DecodeRawPage("short", 0));
+
+    bool more = false;
+    std::string last;
+    const auto newest = DecodeNewestPage(
+      R"({"Entries":[{"Key":"k","Value":"YWI=","Offset":4}],"MorePages":true,"End":6})",
+      more,
+      last);
+    CPPUNIT_ASSERT(newest && more);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), *newest->records[0].value);
+    CPPUNIT_ASSERT_EQUAL(std::string("k"), last);
+  }
+
+  void HeaderFieldsAreTranslated()
+  {
+    HttpRequest http;
+    http.method = "POST";
+    http.target = "/lo/x?a=1";
+    http.body = MakeBody("body");
+    http.fields.set("Host", "a.example");
+    http.fields.set("X-Sycamorepost-Request-Id", "9c41");
+    http.fields.set("X-Sycamorepost-Deadline", "1500");
+    http.fields.set("X-Sycamorepost-Token-Counts", "1460,80");
+    http.fields.set("X-Sycamorepost-Tenant", "somebody");
+    http.fields.set("Last-Event-Id", "12");
+    http.fields.set("Authorization", "Bearer k1");
+    http.fields.set("Connection", "close, X-Hop");
+    http.fields.set("X-Hop", "1");
+    http.fields.set("X-Sycamorepost-Model", "m");
+    const ForwardRequest request = DecodeRequest(http, 5);
+    CPPUNIT_ASSERT_EQUAL(std::string("k1"), *request.key);
+    CPPUNIT_ASSERT_EQUAL(1460U, request.promptTokens);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), *request.resumeAfter);
+
+    StartAttempt start;
+    start.address = "10.0.0.9:80";
+    start.instance = "i-1";
+    start.account = "t1";
+    start.remaining = std::chrono::milliseconds(1400);
+    start.helpers = { { "10.0.0.3:80", "t81" }, { "10.0.0.5:80", "" } };
+    const HttpCall call = EncodeAttempt(request, start);
+    std::map<std::string, std::string> sent(call.fields.begin(), call.fields.end());
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), sent["X-Sycamorepost-Tenant"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("1400"), sent["X-Sycamorepost-Deadline"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), sent["X-Sycamorepost-Expected-Instance"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3:80/t81,10.0.0.5:80"),
+                         sent["X-Sycamorepost-Helpers"]);
+    CPPUNIT_ASSERT_EQUAL(std::string("m"), sent["X-Sycamorepost-Model"]);
+    CPPUNIT_ASSERT(!sent.contains("Authorization") && !sent.contains("X-Hop"));
+    CPPUNIT_ASSERT(!sent.contains("Last-Event-Id")); // Only the reducer says where to go on.
+    CPPUNIT_ASSERT_EQUAL(http.target, call.target);
+
+    HttpReply reply;
+    reply.stage = HttpStage::Answered;
+    reply.status = 200;
+    reply.fields = { { "x-sycamorepost-response-signature", "3e1b" },
+                     { "X-Sycamorepost-Request-Id", "other" },
+                     { "Content-Length", "4" } };
+    const AttemptHead head = DecodeHead(1, "9c41", reply);
+    CPPUNIT_ASSERT(head.isSigned && head.otherRequest && !head.notExecuted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), head.fields.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("0.250"),
+                         EncodeRefusal("", std::chrono::milliseconds(250)).back().second);
+  }
+
+  void TargetsThatLapseDuringAnOutageAreKeptForAWhile()
+  {
+    std::string reason;
+    Instant now{ std::chrono::hours(1) };
+    TargetDirectory directory;
+    directory.Apply({ "i-1", DecodeRegistration("i-1", kRegistration, reason) }, now);
+
+    // Removed while the store is reached: gone at once.
+    CPPUNIT_ASSERT(directory.Apply({ "i-1", std::nullopt }, now));
+    directory.Apply({ "i-1", DecodeRegistration("i-1", kRegistration, reason) }, now);
+
+    // Found missing when the store is back: kept until it had time to register again.
+    directory.NoteStoreLost();
+    directory.NoteStoreReached(now);
+    CPPUNIT_ASSERT(!directory.ApplyListing({}, now));
+    now += std::chrono::seconds(2);
+    CPPUNIT_ASSERT(!directory.Expire(now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.Targets().size());
+    now += std::chrono::seconds(1);
+    CPPUNIT_ASSERT(directory.Expire(now));
+    CPPUNIT_ASSERT(directory.Targets().empty());
+  }
+
+  void EventsAreCutWhereverTheBytesEnd()
+  {
+    const std::string text = "version: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+      EventStreamReader reader;
+      auto events = reader.Add(text.substr(0, cut));
+      const auto rest = reader.Add(text.substr(cut));
+      events.insert(events.end(), rest.begin(), rest.end());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), events.size());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *events[0].id);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *events[1].id);
+      CPPUNIT_ASSERT(!reader.Empty());
+    }
+  }
+
+  void TheLogNeitherBlocksNorGrows()
+  {
+    int ends[2];
+    CPPUNIT_ASSERT_EQUAL(0, pipe(ends));
+    DecisionLog log("entry-1", 1, ends[1]);
+    const LogDecision line{ "refused", "id", { { "reason", std::string(300, 'x') } }, true };
+    for (int i = 0; i < 5000; ++i) {
+      log.Write(line, i);
+      log.Flush(); // Nobody reads.
+    }
+    CPPUNIT_ASSERT(log.Dropped() > 0);
+    CPPUNIT_ASSERT(log.Waiting() <= 256 * 1024);
+    close(ends[0]);
+    close(ends[1]);
+  }
+
+  void SettingsAreChecked()
+  {
+    const std::string good =
+      "[forward]\nname = \"e\"\ndomain = \"d\"\nhttp_address = \"10.0.0.1:1\"\n"
+      "admin_address = \"10.0.0.1:2\"\npeer_address = \"10.0.0.1:3\"\n"
+      "store_address = \"10.0.0.1:4\"\n";
+    std::vector<SettingsError> errors;
+    CPPUNIT_ASSERT(IsForwardSettings(good));
+    CPPUNIT_ASSERT(ParseForwardSettings(good, errors).has_value());
+    CPPUNIT_ASSERT(!ParseForwardSettings(good + "retry_ratio = -1\nretri_slack = 2\n", errors));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), errors.size());
+    CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
+
+} // namespace
+} // namespace sycamorepost::platform
