--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -312,9 +312,9 @@
 
 // The message names in variant order, used on the wire, in metrics and in dumps.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
-  "probe",     "probe-reply", "start",     "refused",   "chunk",      "finished",
-  "cancel",    "ping",        "pong",      "leaving",   "suspect",    "cleared",
-  "rules-ask", "rules-tell",  "load",      "hold-ask",  "hold-reply", "hold-release",
+  "probe",     "probe-reply", "start",     "refused",    "chunk",      "finished",
+  "cancel",    "ping",        "pong",      "leaving",    "suspect",    "cleared",
+  "rules-ask", "rules-tell",  "load",      "hold-ask",   "hold-reply", "hold-release",
   "span-put",  "span-held",   "span-done", "span-moved", "entry-load", "break"
 };
 
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -127,7 +128,7 @@
   // Starts to listen; on failure returns false and sets the reason.
   bool Listen(const tcp::endpoint& aEndpoint, std::string& aReason);
 
-  // Stops to accept; open connections end after their current request.
+  // Stops to accept. Idle connections are closed, the others after their current request.
   void StopAccepting();
 
   void SetErrorBody(HttpErrorBody aBody) { this->errorBody = std::move(aBody); }
@@ -150,6 +151,7 @@
   tcp::acceptor acceptor;
   std::size_t connections = 0;
   std::size_t active = 0;
+  std::set<beast::tcp_stream*> idle; // Connections that wait for a request.
   bool stopping = false;
   bool closing = false;
 };
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -214,6 +214,9 @@
   this->closing = true;
   beast::error_code error;
   this->acceptor.close(error);
+  for (beast::tcp_stream* stream : this->idle) {
+    stream->cancel();
+  }
 }
 
 asio::awaitable<void>
@@ -268,8 +271,13 @@
   if (aBuffer.size() > 0) {
     co_return true;
   }
+  if (this->stopping) {
+    co_return false;
+  }
   aStream.expires_after(this->limits.idleBound);
+  this->idle.insert(&aStream);
   const auto [error, size] = co_await aStream.async_read_some(aBuffer.prepare(kFirstRead), kTuple);
+  this->idle.erase(&aStream);
   aBuffer.commit(size);
   co_return !error;
 }
