Send an unanswered release again; split the forwarding reducer and daemon by part

Change: a release without an answer is sent again, up to six times. ForwardReducerTest::ReservationsEndWithTheirRequest holds the case and failed first. Moves only beside it: launching and callers' sessions have files of their own.

--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,5 +1,5 @@
 // Offers the state of the forwarding reducer. Its member functions lie in ForwardAdmission.cpp,
-// ForwardAttempts.cpp, ForwardReservations.cpp and ForwardReducer.cpp.
+// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardReservations.cpp and ForwardReducer.cpp.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
@@ -13,6 +13,13 @@
 
 namespace sycamorepost::internal {
 
+// The shortest silence of a stream that is taken for a failure: half of what callers wait for, so
+// that another target can still answer.
+inline constexpr Duration kShortestGapBound = std::chrono::milliseconds(900);
+
+// With less time left than this no target could answer.
+inline constexpr Duration kShortestRemaining = std::chrono::milliseconds(5);
+
 // Memory reserved, or being reserved, on one engine.
 struct Reservation
 {
@@ -24,6 +31,13 @@
   bool granted = false;
 };
 
+// A release that is out.
+struct Release
+{
+  Reservation reservation;
+  std::uint32_t tries = 1;
+};
+
 // One exchange with a target.
 struct Attempt
 {
@@ -135,6 +149,7 @@
   void OnReserved(internal::Flow& aFlow);
   void RenewReservations(internal::Flow& aFlow);
   void ReleaseReservations(internal::Flow& aFlow);
+  void SendRelease(internal::Release aRelease);
 
   // Helpers.
   void SetWake(internal::Flow& aFlow);
@@ -171,6 +186,7 @@
   std::set<std::pair<Instant, std::uint64_t>> timers;  // Flows by wake.
   std::map<std::uint64_t, std::uint64_t> attemptOwner; // Handle by attempt.
   std::map<std::uint64_t, std::uint64_t> orderOwner;   // Handle by order.
+  std::map<std::uint64_t, internal::Release> releases; // By order.
   std::mt19937_64 random;
   std::uint64_t attemptSequence = 0;
   std::uint64_t orderSequence = 0;
--- a/src/core/forward/ForwardReservations.cpp
+++ b/src/core/forward/ForwardReservations.cpp
@@ -12,6 +12,9 @@
 // A third of the lease: one renewal may be lost.
 constexpr int kRenewalsPerLease = 3;
 
+// The lease ends by itself after as many timeouts of an order.
+constexpr std::uint32_t kMostReleases = 6;
+
 } // namespace
 
 // Reserves the memory that a placement wants on helpers. Returns false when it wants none. Nothing
@@ -60,6 +63,16 @@
 void
 ForwardReducer::Impl::OnEvent(const OrderEnd& aEnd)
 {
+  const auto release = this->releases.find(aEnd.order);
+  if (release != this->releases.end()) {
+    internal::Release again = std::move(release->second);
+    this->releases.erase(release);
+    // An unanswered release may come into force long after; until then the memory stays reserved.
+    if (!aEnd.answered && ++again.tries <= kMostReleases) {
+      this->SendRelease(std::move(again));
+    }
+    return;
+  }
   const auto owner = this->orderOwner.find(aEnd.order);
   if (owner == this->orderOwner.end()) {
     return;
@@ -126,14 +139,22 @@
 {
   for (const Reservation& reservation : aFlow.reservations) {
     this->orderOwner.erase(reservation.order);
-    this->effects.emplace_back(SendOrder{ ++this->orderSequence,
-                                          reservation.address,
-                                          reservation.instance,
-                                          reservation.name,
-                                          0,
-                                          Duration::zero() });
+    this->SendRelease({ reservation });
   }
   aFlow.reservations.clear();
 }
 
+void
+ForwardReducer::Impl::SendRelease(internal::Release aRelease)
+{
+  const Reservation& reservation = aRelease.reservation;
+  this->effects.emplace_back(SendOrder{ ++this->orderSequence,
+                                        reservation.address,
+                                        reservation.instance,
+                                        reservation.name,
+                                        0,
+                                        Duration::zero() });
+  this->releases.emplace(this->orderSequence, std::move(aRelease));
+}
+
 } // namespace sycamorepost
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -20,7 +20,8 @@
 
 namespace sycamorepost {
 
-// The daemon.
+// The daemon. Its member functions lie in ForwardDaemon.cpp and, for one caller or one target, in
+// ForwardSessions.cpp.
 class ForwardDaemon
 {
 public:
--- /dev/null
+++ b/src/runtime/ForwardSessions.cpp
@@ -0,0 +1,136 @@
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform/RequestCodec.h"
+#include "runtime/ForwardDaemon.h"
+#include "runtime/Node.h"
+
+namespace sycamorepost {
+
+namespace {
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+// ---- One caller ----
+
+asio::awaitable<void>
+ForwardDaemon::Serve(HttpRequest aRequest, HttpExchange& aExchange)
+{
+  const std::uint64_t handle = ++this->lastHandle;
+  const auto session = std::make_shared<Session>(this->context);
+  session->startedAt = Node::Now();
+  session->request =
+    std::make_shared<const ForwardRequest>(platform::DecodeRequest(aRequest, handle));
+  aRequest = {};
+  this->sessions[handle] = session;
+  aExchange.WatchClose(session, [this, handle] { this->Step(ForwardCallerGone{ handle }); });
+  this->Step(*session->request);
+  co_await this->Deliver(*session, aExchange);
+  this->Step(ForwardCallerGone{ handle });
+  this->sessions.erase(handle);
+  this->metrics.Observe("request", "", Node::Now() - session->startedAt);
+}
+
+asio::awaitable<void>
+ForwardDaemon::Deliver(Session& aSession, HttpExchange& aExchange)
+{
+  while (!aSession.begin && !aSession.whole && !aSession.broken) {
+    const bool open = this->reducer.Knows(aSession.request->handle);
+    if (!open) {
+      aExchange.Drop();
+      co_return; // The caller has gone.
+    }
+    co_await this->AwaitChange(aSession);
+  }
+  if (aSession.whole) {
+    WholeAnswer& answer = *aSession.whole;
+    std::vector<Field> fields = std::move(answer.fields);
+    if (fields.empty()) {
+      fields = platform::EncodeRefusal(aSession.request->requestId, answer.retryAfter);
+    }
+    co_await aExchange.Respond(answer.status, std::move(fields), MakeBody(std::move(answer.body)));
+  } else if (aSession.begin) {
+    this->metrics.Observe(
+      "first_event", LengthClass(aSession.request->promptTokens), Node::Now() - aSession.startedAt);
+    co_await this->DeliverStream(aSession, aExchange);
+  } else {
+    aExchange.Drop();
+  }
+}
+
+asio::awaitable<void>
+ForwardDaemon::DeliverStream(Session& aSession, HttpExchange& aExchange)
+{
+  bool open =
+    co_await aExchange.BeginStream(aSession.begin->status, std::move(aSession.begin->fields));
+  while (open) {
+    if (!aSession.pieces.empty()) {
+      open = co_await aExchange.Write(std::exchange(aSession.pieces, {}));
+    } else if (aSession.complete) {
+      co_await aExchange.EndStream({});
+      co_return;
+    } else if (aSession.broken || !this->reducer.Knows(aSession.request->handle)) {
+      break;
+    } else {
+      co_await this->AwaitChange(aSession);
+    }
+  }
+  aExchange.Drop();
+}
+
+asio::awaitable<void>
+ForwardDaemon::AwaitChange(Session& aSession)
+{
+  aSession.changed.expires_at(std::chrono::steady_clock::time_point::max());
+  co_await aSession.changed.async_wait(kTuple);
+}
+
+// ---- One target ----
+
+asio::awaitable<void>
+ForwardDaemon::RunAttempt(std::uint64_t aAttempt,
+                          HttpCall aCall,
+                          std::string aRequestId,
+                          std::shared_ptr<HttpStream> aStream)
+{
+  const Instant deadline = Node::Now() + aCall.timeout;
+  const HttpReply head = co_await aStream->Open(std::move(aCall));
+  if (!this->attempts.contains(aAttempt)) {
+    co_return;
+  }
+  AttemptEnd end{ aAttempt, AttemptEndKind::Broken, head.reason };
+  if (head.stage == HttpStage::Answered) {
+    this->Step(platform::DecodeHead(aAttempt, aRequestId, head));
+    while (this->attempts.contains(aAttempt)) {
+      auto piece = co_await aStream->Read(std::max(Duration(1), deadline - Node::Now()));
+      if (!piece) {
+        break;
+      }
+      if (this->attempts.contains(aAttempt)) {
+        this->Step(AttemptData{ aAttempt, std::move(*piece) });
+      }
+    }
+    end.kind = aStream->Complete() ? AttemptEndKind::Complete : AttemptEndKind::Broken;
+    end.reason = aStream->Error();
+  } else if (head.stage == HttpStage::NotReached) {
+    end.kind = AttemptEndKind::NotReached;
+  }
+  if (this->attempts.erase(aAttempt) > 0) {
+    aStream->Close();
+    this->Step(end);
+  }
+}
+
+asio::awaitable<void>
+ForwardDaemon::RunOrder(SendOrder aOrder)
+{
+  const HttpReply reply = co_await Fetch(platform::EncodeOrder(aOrder));
+  this->Step(
+    OrderEnd{ aOrder.order, reply.stage == HttpStage::Answered, platform::IsGranted(reply) });
+}
+
+} // namespace sycamorepost
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -361,6 +361,14 @@
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), order.tokens);
     }
 
+    // A release that nobody answered is sent again; one that was answered is not.
+    const SendOrder lost = world.orders.front();
+    world.Step(OrderEnd{ world.orders.back().order, true, true });
+    CPPUNIT_ASSERT_EQUAL(reserved, world.orders.size());
+    world.Step(OrderEnd{ lost.order, false, false });
+    CPPUNIT_ASSERT_EQUAL(reserved + 1, world.orders.size());
+    CPPUNIT_ASSERT_EQUAL(lost.reservation, world.orders.back().reservation);
+
     // One that is refused has all of them released, also the one that nobody answered.
     world.orders.clear();
     world.Ask("/sift/", 400'000);
