--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -14,7 +14,8 @@
 // Targets that may be dialled in vain for one request.
 constexpr std::uint32_t kMaxMisses = 4;
 
-constexpr int kGapObjectives = 4; // Pauses on time that fit into a silence that is a failure.
+// Pauses on time that fit into a silence that is a failure.
+constexpr int kGapObjectives = 4;
 
 std::int64_t
 AgeMs(Instant aFrom, Instant aNow)
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -19,8 +19,6 @@
 // Placements of one request in all, whatever became of them.
 constexpr std::uint32_t kMaxPlacements = 8;
 
-constexpr int kGapObjectives = 4; // Pauses on time that fit into a silence that is a failure.
-
 // A plain call may take this share of the time that is left before another target is tried.
 constexpr int kFirstAnswerShare = 3;
 
