Use one share type, one clock, one field matcher and one place that drops gone peers

Found on reading the whole change: TargetShare and LoadTold were the same type, copied field by field at both ends; the book and the reducer each timed peers out after three seconds; milliseconds were converted in four places; Now, Sleep and the matching of field names stood twice or three times; LoadBook repeated its own lines. retry_window was a setting that nothing read, so it is gone. The parallel write had narrowed the counter of sent bytes to the body; it counts what was written again. What belongs to one caller moves to ForwardSessions.cpp.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/Hash.h"
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/TargetShare.h"
 
 namespace sycamorepost {
 
@@ -260,17 +261,6 @@
   std::int64_t queuedMs = 0; // Predicted time to drain the engine's queue.
 };
 
-// What one entry has placed on one target.
-struct TargetShare
-{
-  std::string instance;
-  std::uint32_t running = 0;
-  std::uint32_t tight = 0;  // Of these, the ones whose pauses between events must be short.
-  std::uint64_t memory = 0; // Tokens of KV cache.
-  double readMs = 0;        // Reading that is left, in milliseconds.
-  double unreadMs = 0;      // Reading of requests that have shown no event yet.
-};
-
 // Entry to entries: my load where it has changed, or the whole of it.
 struct EntryLoad
 {
--- a/include/sycamorepost/Types.h
+++ b/include/sycamorepost/Types.h
@@ -41,6 +41,19 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
 }
 
+// Converts a span from and to milliseconds with their fractions.
+inline double
+ToMs(Duration aSpan)
+{
+  return std::chrono::duration<double, std::milli>(aSpan).count();
+}
+
+inline Duration
+FromMs(double aMs)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+}
+
 // What became of a request, as told to its caller.
 enum class Outcome
 {
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -107,7 +107,7 @@
 {
   std::string peer;
   std::uint64_t incarnation = 0; // Changes at each start of the peer.
-  std::vector<LoadTold> loads;
+  std::vector<TargetShare> loads;
   bool whole = false; // What is not named is idle.
 };
 
@@ -210,7 +210,7 @@
 // Tells all peers of this entry's load.
 struct TellLoad
 {
-  std::vector<LoadTold> loads;
+  std::vector<TargetShare> loads;
   bool whole = false;
 };
 
@@ -251,8 +251,7 @@
   std::string domain;
   std::uint64_t seed = 0;
   double retryRatio = 0.2; // Repeats per request that all entries together may make,
-  double retrySlack = 20;  // and repeats beside them,
-  Duration retryWindow = std::chrono::seconds(10);     // in any such span.
+  double retrySlack = 20;  // and repeats beside them.
   Duration reservationLease = std::chrono::seconds(3); // Shorter than engines may hold it unused.
 };
 
--- a/include/sycamorepost/forward/LoadBook.h
+++ b/include/sycamorepost/forward/LoadBook.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/TargetShare.h"
 
 namespace sycamorepost {
 
@@ -35,18 +36,11 @@
   // Returns the reading time that is left in milliseconds. What has shown no event is not done,
   // though its time may have passed.
   double ReadMs(Instant aNow) const;
-  bool Idle(Instant aNow) const { return this->running == 0 && this->ReadMs(aNow) <= 0; }
-};
-
-// The load that an entry tells its peers about one target.
-struct LoadTold
-{
-  std::string instance;
-  std::uint32_t running = 0;
-  std::uint32_t tight = 0;
-  std::uint64_t memory = 0;
-  double readMs = 0;
-  double unreadMs = 0;
+  // Returns whether nothing is placed there.
+  bool Idle(Instant aNow) const
+  {
+    return this->running == 0 && this->memory == 0 && this->ReadMs(aNow) <= 0;
+  }
 };
 
 // The book.
@@ -58,17 +52,16 @@
   void MarkRead(const PlacedWork& aWork, Instant aNow);
   void Remove(const PlacedWork& aWork, bool aWasRead, Instant aNow);
 
-  // Takes what a peer says of its own load; what a silent peer said is dropped after a while.
-  void TakeTold(const std::string& aPeer, const std::vector<LoadTold>& aLoads, Instant aNow);
-  void ForgetSilentPeers(Instant aNow);
+  // Takes what a peer says of its own load, and drops what one that is gone has said.
+  void TakeTold(const std::string& aPeer, const std::vector<TargetShare>& aLoads, Instant aNow);
   void ForgetPeer(const std::string& aPeer) { this->peers.erase(aPeer); }
 
   // Returns this entry's own load where it changed since the last call.
-  std::vector<LoadTold> TakeChanges(Instant aNow);
+  std::vector<TargetShare> TakeChanges(Instant aNow);
   bool HasChanges() const { return !this->changed.empty(); }
 
   // Returns the whole of this entry's own load.
-  std::vector<LoadTold> Snapshot(Instant aNow) const;
+  std::vector<TargetShare> Snapshot(Instant aNow) const;
 
   // Returns the load of all entries on a target.
   TargetLoad LoadOf(const std::string& aInstance, Instant aNow) const;
@@ -95,16 +88,13 @@
     Instant avoidUntil;
   };
 
-  struct PeerLoads
-  {
-    std::map<std::string, TargetLoad> loads;
-    Instant heardAt;
-  };
+  using Loads = std::map<std::string, TargetLoad>; // By instance.
 
+  Health& CountFailure(const std::string& aInstance);
   void Avoid(Health& aHealth, Instant aNow);
 
-  std::map<std::string, TargetLoad> own;
-  std::map<std::string, PeerLoads> peers;
+  Loads own;
+  std::map<std::string, Loads> peers;
   std::map<std::string, Health> health;
   std::set<std::string> changed;
 };
--- a/src/adapters/ServiceClient.cpp
+++ b/src/adapters/ServiceClient.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/beast/core/string.hpp>
-
 namespace sycamorepost {
 
 namespace {
@@ -16,9 +14,7 @@
   static constexpr std::array<const char*, 5> kNames{
     "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade"
   };
-  return std::any_of(kNames.begin(), kNames.end(), [&](const char* aKnown) {
-    return beast::iequals(aName, aKnown);
-  });
+  return IsOneOf(aName, kNames);
 }
 
 } // namespace
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -17,12 +17,6 @@
 // Pauses on time that fit into a silence that is a failure.
 constexpr int kGapObjectives = 4;
 
-std::int64_t
-AgeMs(Instant aFrom, Instant aNow)
-{
-  return ToMillis(aNow - aFrom);
-}
-
 } // namespace
 
 void
@@ -108,7 +102,7 @@
     this->Log(aFlow,
               "first-event",
               { { "target", aFlow.attempt->placement.target.instance },
-                { "after_ms", std::to_string(AgeMs(aFlow.arrivedAt, this->now)) } },
+                { "after_ms", std::to_string(ToMillis(this->now - aFlow.arrivedAt)) } },
               false);
   }
   if (!std::exchange(aFlow.attempt->delivered, true)) {
@@ -162,11 +156,11 @@
       BeginAnswer{ flow->request.handle, *flow->attempt->status, flow->attempt->fields });
   }
   this->effects.emplace_back(CompleteAnswer{ flow->request.handle });
-  this->Log(
-    *flow,
-    "done",
-    { { "target", instance }, { "after_ms", std::to_string(AgeMs(flow->arrivedAt, this->now)) } },
-    false);
+  this->Log(*flow,
+            "done",
+            { { "target", instance },
+              { "after_ms", std::to_string(ToMillis(this->now - flow->arrivedAt)) } },
+            false);
   this->End(*flow);
 }
 
@@ -190,7 +184,7 @@
             "answered",
             { { "status", std::to_string(status) },
               { "target", instance },
-              { "after_ms", std::to_string(AgeMs(aFlow.arrivedAt, this->now)) } },
+              { "after_ms", std::to_string(ToMillis(this->now - aFlow.arrivedAt)) } },
             status / 100 != 2);
   this->effects.emplace_back(std::move(answer));
   this->End(aFlow);
@@ -208,7 +202,7 @@
             { { "target", instance },
               { "reason", aReason },
               { "run", std::to_string(aFlow.runs) },
-              { "age_ms", std::to_string(AgeMs(aFlow.attempt->startedAt, this->now)) } },
+              { "age_ms", std::to_string(ToMillis(this->now - aFlow.attempt->startedAt)) } },
             true);
   const bool again = this->MayRetryRun(aFlow);
   this->CloseAttempt(aFlow, aCancel);
@@ -232,7 +226,7 @@
               { "reason", aReason },
               { "helpers", std::to_string(aFlow.attempt->placement.helpers.size()) },
               { "running", std::to_string(this->book.LoadOf(instance, this->now).running) },
-              { "age_ms", std::to_string(AgeMs(aFlow.attempt->startedAt, this->now)) } },
+              { "age_ms", std::to_string(ToMillis(this->now - aFlow.attempt->startedAt)) } },
             true);
   this->CloseAttempt(aFlow, true);
   aFlow.tried.insert(instance);
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -125,6 +125,7 @@
 
   // Attempts.
   void Launch(internal::Flow& aFlow);
+  PlacementAsk AskOf(const internal::Flow& aFlow, const ServiceTraits& aService) const;
   void LaunchPlaced(internal::Flow& aFlow, Placement aPlacement);
   std::uint32_t UrgencyOf(const internal::Flow& aFlow) const;
   void ArmStall(internal::Flow& aFlow, Duration aBound);
@@ -159,6 +160,7 @@
   std::uint32_t BreaksOf(std::uint64_t aFingerprint);
   void AddBreak(std::uint64_t aFingerprint);
   void TellPeers();
+  void ForgetGonePeers();
   void Count(std::string aName, std::string aLabel);
   void Log(const internal::Flow& aFlow,
            std::string aDecision,
@@ -191,7 +193,7 @@
   std::uint64_t attemptSequence = 0;
   std::uint64_t orderSequence = 0;
   Instant tellAt = Instant::max(); // When changed loads are told.
-  Instant houseAt;                 // When the whole load is told and old records are dropped.
+  Instant houseAt; // When peers hear of this entry at the latest and old records are dropped.
 };
 
 } // namespace sycamorepost
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -50,28 +50,18 @@
     this->GiveUp(aFlow, service ? "no time is left for another target" : "the service is unknown");
     return;
   }
-  PlacementAsk ask;
-  ask.service = service;
-  ask.promptTokens = aFlow.request.promptTokens;
-  ask.answerTokens = aFlow.request.answerTokens;
-  ask.objective = aFlow.route->objective;
-  ask.gapObjective = aFlow.route->gapObjective;
-  ask.tightGap = aFlow.table->ShortestGap();
-  ask.looseGap = aFlow.table->NextGap();
-  ask.tried = aFlow.tried;
-  ask.domain = this->config.domain;
+  const PlacementAsk ask = this->AskOf(aFlow, *service);
   Placement placement = Place(ask, this->targets, this->book, this->random, this->now);
   if (placement.end != PlacementEnd::Placed) {
     static constexpr std::array<const char*, 4> kReasons{ "",
                                                           "no target is known",
                                                           "all engines' memory is taken",
                                                           "the prompt is larger than all engines" };
-    aFlow.busyFor = std::chrono::milliseconds(static_cast<std::int64_t>(placement.waitMs));
+    aFlow.busyFor = FromMs(placement.waitMs);
     this->GiveUp(aFlow, kReasons.at(static_cast<std::size_t>(placement.end)));
     return;
   }
-  const Duration first =
-    std::chrono::microseconds(static_cast<std::int64_t>(placement.firstMs * 1e3));
+  const Duration first = FromMs(placement.firstMs);
   if (first > std::min(remaining, this->LongestWait(aFlow))) {
     aFlow.busyFor = first;
     this->refused[aFlow.request.fingerprint] = this->now + kRefusalMemory;
@@ -83,6 +73,22 @@
   }
 }
 
+PlacementAsk
+ForwardReducer::Impl::AskOf(const Flow& aFlow, const ServiceTraits& aService) const
+{
+  PlacementAsk ask;
+  ask.service = &aService;
+  ask.promptTokens = aFlow.request.promptTokens;
+  ask.answerTokens = aFlow.request.answerTokens;
+  ask.objective = aFlow.route->objective;
+  ask.gapObjective = aFlow.route->gapObjective;
+  ask.tightGap = aFlow.table->ShortestGap();
+  ask.looseGap = aFlow.table->NextGap();
+  ask.tried = aFlow.tried;
+  ask.domain = this->config.domain;
+  return ask;
+}
+
 // Returns how long a request may wait for its first event. In a standing queue every caller would
 // be late: a few are sent away so that the others are on time. Who comes back has waited already
 // and may wait longer.
@@ -170,8 +176,7 @@
   if (aFlow.route->kind != RouteKind::Stream) {
     return std::min((aFlow.deadline - this->now) / kFirstAnswerShare, objective * 2);
   }
-  const auto expected =
-    std::chrono::microseconds(static_cast<std::int64_t>(aFlow.attempt->placement.firstMs * 1e3));
+  const auto expected = FromMs(aFlow.attempt->placement.firstMs);
   return expected + (expected > kLongReading
                        ? std::max(kShortestGapBound, objective * kSilentObjectives)
                        : kShortestGapBound);
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -128,10 +128,7 @@
 {
   if (this->now >= this->houseAt) {
     this->houseAt = this->now + kHouseEvery;
-    this->book.ForgetSilentPeers(this->now);
-    std::erase_if(this->peers, [this](const auto& aPeer) {
-      return aPeer.second.heardAt + kPeerGone < this->now;
-    });
+    this->ForgetGonePeers();
     std::erase_if(this->breaks,
                   [this](const auto& aBreak) { return aBreak.second.until < this->now; });
     std::erase_if(this->refused,
@@ -147,6 +144,18 @@
   }
 }
 
+void
+ForwardReducer::Impl::ForgetGonePeers()
+{
+  std::erase_if(this->peers, [this](const auto& aPeer) {
+    const bool gone = aPeer.second.heardAt + kPeerGone < this->now;
+    if (gone) {
+      this->book.ForgetPeer(aPeer.first);
+    }
+    return gone;
+  });
+}
+
 void
 ForwardReducer::Impl::OnStall(Flow& aFlow)
 {
--- a/src/core/forward/LoadBook.cpp
+++ b/src/core/forward/LoadBook.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A peer repeats its whole load every second, so after three it is gone or cut off.
-constexpr Duration kPeerSilence = std::chrono::seconds(3);
-
 // The weight of the newest exchange: about the last five decide.
 constexpr double kFailureWeight = 0.2;
 
@@ -23,11 +20,12 @@
 
 // The share of reading that is late which still counts: on the average half of it is done.
 constexpr double kUnreadShare = 0.5;
-
-Duration
-FromMs(double aMs)
+TargetShare
+ShareOf(const std::string& aInstance, const TargetLoad& aLoad, Instant aNow)
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+  return {
+    aInstance, aLoad.running, aLoad.tight, aLoad.memory, aLoad.ReadMs(aNow), aLoad.unreadMs
+  };
 }
 
 } // namespace
@@ -35,7 +33,7 @@
 double
 TargetLoad::ReadMs(Instant aNow) const
 {
-  const double planned = std::chrono::duration<double, std::milli>(this->readUntil - aNow).count();
+  const double planned = ToMs(this->readUntil - aNow);
   return std::max({ 0.0, planned, kUnreadShare * this->unreadMs });
 }
 
@@ -62,11 +60,10 @@
   load.running -= aWork.writes && load.running > 0 ? 1 : 0;
   load.tight -= aWork.isTight && load.tight > 0 ? 1 : 0;
   load.memory -= std::min(load.memory, aWork.memory);
+  this->changed.insert(aWork.instance);
   if (!aWasRead) {
-    load.unreadMs = std::max(0.0, load.unreadMs - aWork.readMs);
-    load.readUntil = std::min(load.readUntil, aNow + FromMs(load.unreadMs));
+    this->MarkRead(aWork, aNow);
   }
-  this->changed.insert(aWork.instance);
 }
 
 void
@@ -83,37 +80,28 @@
 }
 
 void
-LoadBook::TakeTold(const std::string& aPeer, const std::vector<LoadTold>& aLoads, Instant aNow)
+LoadBook::TakeTold(const std::string& aPeer, const std::vector<TargetShare>& aLoads, Instant aNow)
 {
-  PeerLoads& peer = this->peers[aPeer];
-  peer.heardAt = aNow;
-  for (const LoadTold& told : aLoads) {
+  Loads& loads = this->peers[aPeer];
+  for (const TargetShare& told : aLoads) {
     if (told.running == 0 && told.memory == 0 && told.unreadMs <= 0) {
-      peer.loads.erase(told.instance);
+      loads.erase(told.instance);
     } else {
-      peer.loads[told.instance] = {
+      loads[told.instance] = {
         told.running, told.tight, told.memory, aNow + FromMs(told.readMs), told.unreadMs
       };
     }
   }
 }
 
-void
-LoadBook::ForgetSilentPeers(Instant aNow)
-{
-  std::erase_if(this->peers,
-                [aNow](const auto& aPeer) { return aPeer.second.heardAt + kPeerSilence < aNow; });
-}
-
-std::vector<LoadTold>
+std::vector<TargetShare>
 LoadBook::TakeChanges(Instant aNow)
 {
-  std::vector<LoadTold> told;
+  std::vector<TargetShare> told;
   for (const std::string& instance : this->changed) {
     const TargetLoad& load = this->own[instance];
-    told.push_back(
-      { instance, load.running, load.tight, load.memory, load.ReadMs(aNow), load.unreadMs });
-    if (load.Idle(aNow) && load.unreadMs <= 0 && load.memory == 0) {
+    told.push_back(ShareOf(instance, load, aNow));
+    if (load.Idle(aNow)) {
       this->own.erase(instance);
     }
   }
@@ -121,13 +109,12 @@
   return told;
 }
 
-std::vector<LoadTold>
+std::vector<TargetShare>
 LoadBook::Snapshot(Instant aNow) const
 {
-  std::vector<LoadTold> told;
+  std::vector<TargetShare> told;
   for (const auto& [instance, load] : this->own) {
-    told.push_back(
-      { instance, load.running, load.tight, load.memory, load.ReadMs(aNow), load.unreadMs });
+    told.push_back(ShareOf(instance, load, aNow));
   }
   return told;
 }
@@ -137,7 +124,7 @@
 {
   TargetLoad sum;
   double readMs = 0;
-  const auto add = [&](const std::map<std::string, TargetLoad>& aLoads) {
+  const auto add = [&](const Loads& aLoads) {
     const auto found = aLoads.find(aInstance);
     if (found != aLoads.end()) {
       sum.running += found->second.running;
@@ -148,8 +135,8 @@
     }
   };
   add(this->own);
-  for (const auto& [name, peer] : this->peers) {
-    add(peer.loads);
+  for (const auto& [name, loads] : this->peers) {
+    add(loads);
   }
   sum.readUntil = aNow + FromMs(readMs);
   return sum;
@@ -166,12 +153,19 @@
   }
 }
 
-void
-LoadBook::NoteFailure(const std::string& aInstance, Instant aNow)
+LoadBook::Health&
+LoadBook::CountFailure(const std::string& aInstance)
 {
   Health& health = this->health[aInstance];
   health.failureShare += kFailureWeight * (1 - health.failureShare);
   ++health.failuresInARow;
+  return health;
+}
+
+void
+LoadBook::NoteFailure(const std::string& aInstance, Instant aNow)
+{
+  Health& health = this->CountFailure(aInstance);
   if (health.failuresInARow >= kFailuresToAvoid) {
     this->Avoid(health, aNow);
   }
@@ -180,10 +174,7 @@
 void
 LoadBook::NoteUnreachable(const std::string& aInstance, Instant aNow)
 {
-  Health& health = this->health[aInstance];
-  health.failureShare += kFailureWeight * (1 - health.failureShare);
-  ++health.failuresInARow;
-  this->Avoid(health, aNow);
+  this->Avoid(this->CountFailure(aInstance), aNow);
 }
 
 void
@@ -213,8 +204,8 @@
   this->own.erase(aInstance);
   this->health.erase(aInstance);
   this->changed.erase(aInstance);
-  for (auto& [name, peer] : this->peers) {
-    peer.loads.erase(aInstance);
+  for (auto& [name, loads] : this->peers) {
+    loads.erase(aInstance);
   }
 }
 
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -53,8 +53,8 @@
 // What each further helper costs: two orders' worth of calls, in units of a short request.
 constexpr double kHelperWorth = 0.02;
 
-// The part of an engine's memory that one prompt may take without reserving memory elsewhere: half
-// is left for a full batch of usual prompts.
+// The part of an engine's memory that one prompt may take without reserving memory elsewhere: more
+// than half is left for a full batch of usual prompts.
 constexpr double kOwnMemoryShare = 0.4;
 
 // The part of an engine's memory that is planned with: the rest is for answers that turn out
@@ -161,12 +161,6 @@
   return wait;
 }
 
-double
-ToMs(Duration aSpan)
-{
-  return std::chrono::duration<double, std::milli>(aSpan).count();
-}
-
 // The chance that something that takes a time misses its bound: 0 up to some way before it, 1 at a
 // time that is as far beyond it.
 double
@@ -200,7 +194,7 @@
          (hasOwnKind ? kOpenMs : 0);
 }
 
-// Puts the engine that writes first and sorts the rest by what it costs to read there.
+// Puts the engine that writes first; the rest keeps its order.
 void
 PutWriterFirst(std::vector<Candidate>& aCandidates, const EngineTraits& aTraits)
 {
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -4,6 +4,8 @@
 #ifndef SYCAMOREPOST_NET_HTTP_H_
 #define SYCAMOREPOST_NET_HTTP_H_
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 #include "sycamorepost/Types.h"
@@ -31,6 +34,16 @@
 std::optional<tcp::endpoint>
 ParseEndpoint(const std::string& aText);
 
+// Returns whether a header field's name is one of a list; case does not matter.
+template<std::size_t Size>
+bool
+IsOneOf(beast::string_view aName, const std::array<const char*, Size>& aNames)
+{
+  return std::any_of(aNames.begin(), aNames.end(), [&](const char* aKnown) {
+    return beast::iequals(aName, aKnown);
+  });
+}
+
 // ---- Server ----
 
 // A request as a handler sees it.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -2,7 +2,10 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
+
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "net/Http.h"
 
@@ -48,20 +51,25 @@
 void
 SetLinkOptions(tcp::socket& aSocket)
 {
-  static constexpr int kProbeAfterSeconds = 1;
-  static constexpr int kProbes = 2;
-  static constexpr int kUnackedMs = 2000;
-  beast::error_code ignored; // Without an option the connection still works.
-  aSocket.set_option(tcp::no_delay(true), ignored);
-  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
-  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-  aSocket.set_option(Idle(kProbeAfterSeconds), ignored);
-  using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  aSocket.set_option(Interval(kProbeAfterSeconds), ignored);
-  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-  aSocket.set_option(Count(kProbes), ignored);
-  using Unacked = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  aSocket.set_option(Unacked(kUnackedMs), ignored);
+  struct Option
+  {
+    int level;
+    int name;
+    int value;
+  };
+  static constexpr std::array<Option, 6> kOptions{ {
+    { IPPROTO_TCP, TCP_NODELAY, 1 },
+    { SOL_SOCKET, SO_KEEPALIVE, 1 },
+    { IPPROTO_TCP, TCP_KEEPIDLE, 1 },        // Seconds of silence before the first probe,
+    { IPPROTO_TCP, TCP_KEEPINTVL, 1 },       // and between two.
+    { IPPROTO_TCP, TCP_KEEPCNT, 2 },         // Probes.
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, 2000 }, // Milliseconds that sent bytes may stay unanswered.
+  } };
+  for (const Option& option : kOptions) {
+    // Without an option the connection still works.
+    setsockopt(
+      aSocket.native_handle(), option.level, option.name, &option.value, sizeof(option.value));
+  }
 }
 
 // Opens the connection; on failure sets the reply's reason.
@@ -156,10 +164,12 @@
   // and its body live until the write has ended; a failed write shows in the read as well.
   const auto request = std::make_shared<HttpWireRequest>(MakeRequest(aCall));
   http::async_write(
-    this->stream, *request, [request, body = aCall.body](beast::error_code, std::size_t) {});
-  HttpTraffic& traffic = FetchTraffic()[aCall.address];
-  ++traffic.calls;
-  traffic.sentBytes += request->payload_size().value_or(0);
+    this->stream,
+    *request,
+    [request, body = aCall.body, address = aCall.address](beast::error_code, std::size_t aSize) {
+      FetchTraffic()[address].sentBytes += aSize;
+    });
+  ++FetchTraffic()[aCall.address].calls;
   const auto [error, size] =
     co_await http::async_read_header(this->stream, this->buffer, this->parser, kTuple);
   if (error) {
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <glog/logging.h>
@@ -35,9 +34,7 @@
     "Authorization",    "Host",    "Connection", "Content-Length", "Transfer-Encoding",
     "Proxy-Connection", "Upgrade", "Expect",     "Keep-Alive",     "X-Request-Id"
   };
-  return std::any_of(kNames.begin(), kNames.end(), [&](const char* aKnown) {
-    return beast::iequals(aName, aKnown);
-  });
+  return IsOneOf(aName, kNames);
 }
 
 std::string
@@ -83,7 +80,7 @@
            },
            [this] { this->OnTerminate(); },
            [this] { return this->rulesKnown && this->fleetKnown && !this->draining; },
-           [this] { return this->reducer.Dump(Node::Now()); } })
+           [this] { return this->reducer.Dump(Now()); } })
   , reducer(EntryConfig{ .address = aSettings.node.address,
                          .domain = aSettings.node.domain,
                          .seed = this->node.Incarnation() })
@@ -123,7 +120,7 @@
 void
 EntryDaemon::Step(const EntryEvent& aEvent)
 {
-  for (EntryEffect& effect : this->reducer.Step(aEvent, Node::Now())) {
+  for (EntryEffect& effect : this->reducer.Step(aEvent, Now())) {
     std::visit([this](auto& aEffect) { this->Carry(aEffect); }, effect);
   }
   this->node.ArmWake(this->reducer.NextWake(), [this] { this->Step(Wake{}); });
@@ -185,7 +182,7 @@
 EntryDaemon::Serve(HttpRequest aRequest, HttpExchange& aExchange)
 {
   CallerSession session;
-  session.startedAt = Node::Now();
+  session.startedAt = Now();
   session.requestId = aRequest.Field(kRequestIdField);
   const bool named = !session.requestId.empty() && session.requestId.size() <= kMaxRequestId &&
                      IsPlainText(session.requestId);
@@ -215,7 +212,7 @@
   co_await this->Deliver(session, aExchange);
   this->answers.erase(session.handle);
   this->node.Measures().Observe(
-    "request", session.completion ? "completion" : "service", Node::Now() - session.startedAt);
+    "request", session.completion ? "completion" : "service", Now() - session.startedAt);
 }
 
 bool
@@ -318,7 +315,7 @@
 {
   this->node.Measures().Observe("first_token",
                                 LengthClass(aSession.completion->shape.promptTokens),
-                                Node::Now() - aSession.startedAt);
+                                Now() - aSession.startedAt);
 }
 
 asio::awaitable<void>
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -58,7 +58,6 @@
                            .seed = this->incarnation,
                            .retryRatio = this->settings.retryRatio,
                            .retrySlack = this->settings.retrySlack,
-                           .retryWindow = this->settings.retryWindow,
                            .reservationLease = this->settings.reservationLease })
   , bus(
       this->context,
@@ -134,7 +133,7 @@
 void
 ForwardDaemon::Step(const ForwardEvent& aEvent)
 {
-  for (ForwardEffect& effect : this->reducer.Step(aEvent, Node::Now())) {
+  for (ForwardEffect& effect : this->reducer.Step(aEvent, Now())) {
     std::visit([this](auto& aEffect) { this->Carry(aEffect); }, effect);
   }
   this->ArmWake();
@@ -158,13 +157,6 @@
   });
 }
 
-ForwardDaemon::Session*
-ForwardDaemon::Find(std::uint64_t aHandle)
-{
-  const auto found = this->sessions.find(aHandle);
-  return found == this->sessions.end() ? nullptr : found->second.get();
-}
-
 void
 ForwardDaemon::Carry(StartAttempt& aStart)
 {
@@ -193,51 +185,6 @@
   }
 }
 
-void
-ForwardDaemon::Carry(BeginAnswer& aBegin)
-{
-  if (Session* session = this->Find(aBegin.handle)) {
-    session->begin = std::move(aBegin);
-    session->changed.cancel();
-  }
-}
-
-void
-ForwardDaemon::Carry(ContinueAnswer& aContinue)
-{
-  if (Session* session = this->Find(aContinue.handle)) {
-    session->pieces += aContinue.bytes;
-    session->changed.cancel();
-  }
-}
-
-void
-ForwardDaemon::Carry(CompleteAnswer& aComplete)
-{
-  if (Session* session = this->Find(aComplete.handle)) {
-    session->complete = true;
-    session->changed.cancel();
-  }
-}
-
-void
-ForwardDaemon::Carry(BreakAnswer& aBreak)
-{
-  if (Session* session = this->Find(aBreak.handle)) {
-    session->broken = true;
-    session->changed.cancel();
-  }
-}
-
-void
-ForwardDaemon::Carry(WholeAnswer& aWhole)
-{
-  if (Session* session = this->Find(aWhole.handle)) {
-    session->whole = std::move(aWhole);
-    session->changed.cancel();
-  }
-}
-
 void
 ForwardDaemon::Carry(SendOrder& aOrder)
 {
@@ -248,16 +195,9 @@
 ForwardDaemon::Carry(TellLoad& aTell)
 {
   EntryLoad load;
+  load.shares = std::move(aTell.loads);
   load.whole = aTell.whole;
-  load.version = this->table ? this->table->version : 0;
-  for (LoadTold& told : aTell.loads) {
-    load.shares.push_back({ std::move(told.instance),
-                            told.running,
-                            told.tight,
-                            told.memory,
-                            told.readMs,
-                            told.unreadMs });
-  }
+  load.version = this->follower.Version();
   this->SendToPeers(load);
 }
 
@@ -285,12 +225,8 @@
 ForwardDaemon::OnMessage(const Envelope& aEnvelope)
 {
   if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
-    PeerLoadTold told{ aEnvelope.from, aEnvelope.fromIncarnation, {}, load->whole };
-    for (const TargetShare& share : load->shares) {
-      told.loads.push_back(
-        { share.instance, share.running, share.tight, share.memory, share.readMs, share.unreadMs });
-    }
-    this->Step(told);
+    this->Step(
+      PeerLoadTold{ aEnvelope.from, aEnvelope.fromIncarnation, load->shares, load->whole });
     if (load->version > this->follower.Version()) {
       this->bus.Send(aEnvelope.from, 0, RulesAsk{ this->follower.Version() }, nullptr);
     }
@@ -410,7 +346,7 @@
 nlohmann::json
 ForwardDaemon::MakeDump()
 {
-  nlohmann::json json = this->reducer.Dump(Node::Now());
+  nlohmann::json json = this->reducer.Dump(Now());
   json["incarnation"] = this->incarnation;
   json["peer_links"] = this->bus.Peers();
   return json;
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -17,12 +17,64 @@
 
 // ---- One caller ----
 
+ForwardDaemon::Session*
+ForwardDaemon::Find(std::uint64_t aHandle)
+{
+  const auto found = this->sessions.find(aHandle);
+  return found == this->sessions.end() ? nullptr : found->second.get();
+}
+
+void
+ForwardDaemon::Carry(BeginAnswer& aBegin)
+{
+  if (Session* session = this->Find(aBegin.handle)) {
+    session->begin = std::move(aBegin);
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(ContinueAnswer& aContinue)
+{
+  if (Session* session = this->Find(aContinue.handle)) {
+    session->pieces += aContinue.bytes;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(CompleteAnswer& aComplete)
+{
+  if (Session* session = this->Find(aComplete.handle)) {
+    session->complete = true;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(BreakAnswer& aBreak)
+{
+  if (Session* session = this->Find(aBreak.handle)) {
+    session->broken = true;
+    session->changed.cancel();
+  }
+}
+
+void
+ForwardDaemon::Carry(WholeAnswer& aWhole)
+{
+  if (Session* session = this->Find(aWhole.handle)) {
+    session->whole = std::move(aWhole);
+    session->changed.cancel();
+  }
+}
+
 asio::awaitable<void>
 ForwardDaemon::Serve(HttpRequest aRequest, HttpExchange& aExchange)
 {
   const std::uint64_t handle = ++this->lastHandle;
   const auto session = std::make_shared<Session>(this->context);
-  session->startedAt = Node::Now();
+  session->startedAt = Now();
   session->request =
     std::make_shared<const ForwardRequest>(platform::DecodeRequest(aRequest, handle));
   aRequest = {};
@@ -32,7 +84,7 @@
   co_await this->Deliver(*session, aExchange);
   this->Step(ForwardCallerGone{ handle });
   this->sessions.erase(handle);
-  this->metrics.Observe("request", "", Node::Now() - session->startedAt);
+  this->metrics.Observe("request", "", Now() - session->startedAt);
 }
 
 asio::awaitable<void>
@@ -55,7 +107,7 @@
     co_await aExchange.Respond(answer.status, std::move(fields), MakeBody(std::move(answer.body)));
   } else if (aSession.begin) {
     this->metrics.Observe(
-      "first_event", LengthClass(aSession.request->promptTokens), Node::Now() - aSession.startedAt);
+      "first_event", LengthClass(aSession.request->promptTokens), Now() - aSession.startedAt);
     co_await this->DeliverStream(aSession, aExchange);
   } else {
     aExchange.Drop();
@@ -97,7 +149,7 @@
                           std::string aRequestId,
                           std::shared_ptr<HttpStream> aStream)
 {
-  const Instant deadline = Node::Now() + aCall.timeout;
+  const Instant deadline = Now() + aCall.timeout;
   const HttpReply head = co_await aStream->Open(std::move(aCall));
   if (!this->attempts.contains(aAttempt)) {
     co_return;
@@ -106,7 +158,7 @@
   if (head.stage == HttpStage::Answered) {
     this->Step(platform::DecodeHead(aAttempt, aRequestId, head));
     while (this->attempts.contains(aAttempt)) {
-      auto piece = co_await aStream->Read(std::max(Duration(1), deadline - Node::Now()));
+      auto piece = co_await aStream->Read(std::max(Duration(1), deadline - Now()));
       if (!piece) {
         break;
       }
--- a/src/runtime/Node.cpp
+++ b/src/runtime/Node.cpp
@@ -91,12 +91,6 @@
   return true;
 }
 
-Instant
-Node::Now()
-{
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 void
 Node::ArmWake(std::optional<Instant> aAt, std::function<void()> aWake)
 {
--- a/src/runtime/Node.h
+++ b/src/runtime/Node.h
@@ -13,6 +13,7 @@
 
 #include "adapters/LogClient.h"
 #include "adapters/VmList.h"
+#include "net/Clock.h"
 #include "net/Http.h"
 #include "net/PeerBus.h"
 #include "runtime/AdminPages.h"
@@ -51,9 +52,6 @@
   void Run() { this->context.run(); }
   void Stop() { this->context.stop(); }
 
-  // Returns the monotonic time in the core's unit.
-  static Instant Now();
-
   // Runs a function once at an instant, in place of what was armed before.
   void ArmWake(std::optional<Instant> aAt, std::function<void()> aWake);
 
--- a/src/runtime/RuleFollower.cpp
+++ b/src/runtime/RuleFollower.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
+#include "net/Clock.h"
+
 namespace sycamorepost {
 
 namespace {
@@ -23,19 +25,6 @@
 constexpr Duration kStaleJitter = std::chrono::milliseconds(500);
 constexpr std::size_t kPeersAsked = 3;
 
-Instant
-Now()
-{
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-asio::awaitable<void>
-Sleep(asio::io_context& aContext, Duration aTime)
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 RuleFollower::RuleFollower(asio::io_context& aContext,
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -278,7 +278,6 @@
   forward.Count("log_sample", settings.logSample, 1, kMostSample);
   forward.Number("retry_ratio", settings.retryRatio);
   forward.Number("retry_slack", settings.retrySlack);
-  forward.Span("retry_window", settings.retryWindow);
   forward.Span("reservation_lease", settings.reservationLease);
   forward.Finish();
   SortErrors(aErrors);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -47,7 +47,6 @@
   std::uint32_t logSample = 64; // One request in this many has its successes logged.
   double retryRatio = 0.2;      // See ForwardConfig.
   double retrySlack = 20;
-  Duration retryWindow = std::chrono::seconds(10);
   Duration reservationLease = std::chrono::seconds(3);
 };
 
--- a/src/runtime/SidecarDaemon.cpp
+++ b/src/runtime/SidecarDaemon.cpp
@@ -38,7 +38,7 @@
              }
            },
            [this] { return this->rulesKnown && !this->draining; },
-           [this] { return this->reducer.Dump(Node::Now()); } })
+           [this] { return this->reducer.Dump(Now()); } })
   , reducer(SidecarConfig{ .name = aSettings.name,
                            .address = aSettings.node.address,
                            .domain = aSettings.node.domain,
@@ -71,7 +71,7 @@
 void
 SidecarDaemon::Step(const SidecarEvent& aEvent)
 {
-  for (SidecarEffect& effect : this->reducer.Step(aEvent, Node::Now())) {
+  for (SidecarEffect& effect : this->reducer.Step(aEvent, Now())) {
     std::visit([this](auto& aEffect) { this->Carry(aEffect); }, effect);
   }
   this->node.ArmWake(this->reducer.NextWake(), [this] { this->Step(Wake{}); });
