Judge time by a clock that counts while the VM is suspended

Cause: Now() read the steady clock, which stands still while a VM is suspended. After waking, deadlines, leases and what peers had told were taken to be younger than they were, so that a target could be handed more time than its caller had left.

Change: Now() reads the boot-time clock. Timers are armed by span and for a quarter of a second at most, as a timer sleeps on through a suspension.

Ruled out: correcting every stored instant after a wake-up; nothing tells a process that it slept.

Test: ClockTest.

--- a/src/net/Clock.h
+++ b/src/net/Clock.h
@@ -2,6 +2,9 @@
 #ifndef SYCAMOREPOST_NET_CLOCK_H_
 #define SYCAMOREPOST_NET_CLOCK_H_
 
+#include <algorithm>
+#include <ctime>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,11 +14,26 @@
 
 namespace sycamorepost {
 
-// Returns the monotonic time.
+// Returns the monotonic time. Unlike the steady clock it also counts while the VM is suspended, so
+// that deadlines and leases are judged by the time that the other side has seen pass. Timers run on
+// the steady clock: they are armed with a span, not with an instant of this clock.
 inline Instant
 Now()
 {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time); // Fails only for an unknown clock.
+  return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+// Arms a timer for an instant, or for an earlier one: a timer sleeps on while the VM is suspended,
+// so it never sleeps for longer than it may be late.
+inline void
+ArmTimer(boost::asio::steady_timer& aTimer, Instant aAt)
+{
+  // A quarter of the second within which a process that was suspended has to be in step again.
+  static constexpr Duration kLongestSleep = std::chrono::milliseconds(250);
+  aTimer.expires_after(std::min<Duration>(aAt - Now(), kLongestSleep));
 }
 
 // Waits without blocking the thread.
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -148,7 +148,7 @@
     return;
   }
   this->wakeAt = *next;
-  this->wakeTimer.expires_at(*next);
+  ArmTimer(this->wakeTimer, *next);
   this->wakeTimer.async_wait([this](beast::error_code aError) {
     if (!aError) {
       this->wakeAt = Instant::max();
--- a/src/runtime/Node.cpp
+++ b/src/runtime/Node.cpp
@@ -98,7 +98,7 @@
     this->wakeTimer.cancel();
     return;
   }
-  this->wakeTimer.expires_at(*aAt);
+  ArmTimer(this->wakeTimer, *aAt);
   this->wakeTimer.async_wait([wake = std::move(aWake)](beast::error_code aError) {
     if (!aError) {
       wake();
--- /dev/null
+++ b/test/ClockTest.cpp
@@ -0,0 +1,54 @@
+// The process's clock: it counts while the VM is suspended, and no timer outsleeps that.
+#include <ctime>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "net/Clock.h"
+
+namespace sycamorepost {
+namespace {
+
+class ClockTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ClockTest);
+  CPPUNIT_TEST(TheClockCountsSuspension);
+  CPPUNIT_TEST(ATimerWakesEarlyEnoughToNoticeASuspension);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TheClockCountsSuspension()
+  {
+    const auto before = this->ReadBootTime();
+    const Duration read = Now().time_since_epoch();
+    CPPUNIT_ASSERT(before <= read);
+    CPPUNIT_ASSERT(read <= this->ReadBootTime());
+  }
+
+  void ATimerWakesEarlyEnoughToNoticeASuspension()
+  {
+    using std::chrono::seconds;
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer(context);
+    const auto spanOf = [&timer](Instant aAt) {
+      ArmTimer(timer, aAt);
+      return timer.expiry() - std::chrono::steady_clock::now();
+    };
+    CPPUNIT_ASSERT(spanOf(Now() + seconds(3600)) <= seconds(1));
+    CPPUNIT_ASSERT(spanOf(Instant::max()) <= seconds(1));
+    CPPUNIT_ASSERT(spanOf(Now() - seconds(1)) <= seconds(0));
+  }
+
+private:
+  Duration ReadBootTime()
+  {
+    timespec time{};
+    CPPUNIT_ASSERT_EQUAL(0, clock_gettime(CLOCK_BOOTTIME, &time));
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClockTest);
+
+} // namespace
+} // namespace sycamorepost
--- a/test/standins/engine.cpp
+++ b/test/standins/engine.cpp
@@ -15,6 +15,7 @@
 #include "EngineText.h"
 #include "StandIn.h"
 #include "adapters/CompletionApi.h"
+#include "net/Clock.h"
 #include "sycamorepost/internal/Text.h"
 
 DEFINE_string(listen, "", "The ip:port to listen on.");
@@ -34,12 +35,6 @@
 constexpr Duration kKeepAlive = std::chrono::seconds(1);
 constexpr Duration kCrashDelay = std::chrono::milliseconds(30);
 
-Instant
-Now()
-{
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 // The blocks whose KV is kept after their prompt has ended, oldest first.
 class PrefixCache
 {
--- a/test/standins/log.cpp
+++ b/test/standins/log.cpp
@@ -8,6 +8,7 @@
 #include <gflags/gflags.h>
 
 #include "StandIn.h"
+#include "net/Clock.h"
 #include "sycamorepost/TokenBucket.h"
 #include "sycamorepost/internal/Text.h"
 
@@ -21,12 +22,6 @@
 
 constexpr std::size_t kMaxPage = 1000;
 
-Instant
-Now()
-{
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 struct Record
 {
   std::string id;
