--- /dev/null
+++ b/test/standins/registered.cpp
@@ -0,0 +1,220 @@
+// The stand-in of a target as the platform publishes it: it registers itself in the store, answers
+// plain calls or streams of events with ids, resumes them, and takes reservations of memory.
+#include <fstream>
+#include <map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gflags/gflags.h>
+
+#include "StandIn.h"
+#include "net/Clock.h"
+#include "platform/StoreClient.h"
+#include "sycamorepost/internal/Text.h"
+
+DEFINE_string(listen, "", "The ip:port to listen on, which is registered as well.");
+DEFINE_string(store, "", "The store's ip:port.");
+DEFINE_string(name, "", "The instance's name.");
+DEFINE_string(service, "", "The service's name.");
+DEFINE_string(domain, "", "The failure domain.");
+DEFINE_string(effects, "", "A file to which the id of each request that ran is appended.");
+DEFINE_bool(engine, false, "Answers with a stream of events.");
+DEFINE_uint64(memory, 300'000, "Tokens of KV cache.");
+DEFINE_uint64(events, 12, "Events of a stream.");
+DEFINE_int64(event_ms, 15, "Between two events.");
+
+namespace sycamorepost::standin {
+namespace {
+
+constexpr auto kHeartbeat = std::chrono::milliseconds(400);
+constexpr const char* kRequestId = "X-Sycamorepost-Request-Id";
+constexpr const char* kInstance = "X-Sycamorepost-Expected-Instance";
+constexpr const char* kSignature = "X-Sycamorepost-Response-Signature";
+constexpr const char* kNotExecuted = "X-Sycamorepost-Not-Executed";
+constexpr const char* kHelpers = "X-Sycamorepost-Helpers";
+constexpr const char* kTokens = "X-Sycamorepost-Token-Counts";
+
+struct Reservation
+{
+  std::uint64_t tokens = 0;
+  Instant until;
+};
+
+class RegisteredTarget
+{
+public:
+  explicit RegisteredTarget(asio::io_context& aContext)
+    : context(aContext)
+    , store(FLAGS_store)
+  {
+    asio::co_spawn(aContext, this->Register(), asio::detached);
+  }
+
+  asio::awaitable<void> Serve(HttpRequest aRequest, HttpExchange& aExchange)
+  {
+    const std::string path = aRequest.Path();
+    if (path == "/faults") {
+      const nlohmann::json json = ParseBody(aRequest);
+      this->breakAfter = json.value("break_after", std::uint64_t{ 0 });
+      this->state = json.value("draining", false) ? "draining" : "ready";
+      co_await RespondJson(aExchange, 200, nlohmann::json::object());
+    } else if (path == "/report") {
+      co_await this->Report(aExchange);
+    } else if (path == "/order") {
+      co_await this->TakeOrder(aRequest, aExchange);
+    } else if (aRequest.Field(kInstance) != FLAGS_name) {
+      co_await this->Refuse(421, aRequest, aExchange);
+    } else {
+      co_await this->Run(aRequest, aExchange);
+    }
+  }
+
+private:
+  // Writes the registration once a heartbeat, as the platform's targets do.
+  asio::awaitable<void> Register()
+  {
+    for (std::uint64_t sequence = 1;; ++sequence) {
+      const nlohmann::json entry{ { "Service", FLAGS_service },
+                                  { "Address", FLAGS_listen },
+                                  { "Zone", FLAGS_domain },
+                                  { "Version", 1 },
+                                  { "Slots", 16 },
+                                  { "State", this->state },
+                                  { "ColdRemainingMs", 0 },
+                                  { "Seq", sequence },
+                                  { "born", this->startedAtUnixMs } };
+      const platform::StoreRecord record{ FLAGS_name, entry.dump() };
+      co_await this->store.Append("keyed.servers", record); // The next heartbeat is the retry.
+      co_await sycamorepost::Sleep(this->context, kHeartbeat);
+    }
+  }
+
+  std::uint64_t ReservedTokens()
+  {
+    std::erase_if(this->reservations, [](const auto& aOne) { return aOne.second.until < Now(); });
+    std::uint64_t tokens = 0;
+    for (const auto& [name, reservation] : this->reservations) {
+      tokens += reservation.tokens;
+    }
+    return tokens;
+  }
+
+  asio::awaitable<void> Report(HttpExchange& aExchange)
+  {
+    const std::uint64_t reserved = this->ReservedTokens();
+    nlohmann::json tickets = nlohmann::json::array();
+    for (const auto& [name, reservation] : this->reservations) {
+      tickets.push_back({ { "Id", name }, { "Tokens", reservation.tokens }, { "State", "held" } });
+    }
+    const nlohmann::json report{ { "Stage", "prefill_decode" },
+                                 { "NumRunning", this->running },
+                                 { "KvUsed", reserved },
+                                 { "KvTotal", FLAGS_memory },
+                                 { "Tickets", std::move(tickets) } };
+    co_await RespondJson(aExchange, 200, report);
+  }
+
+  asio::awaitable<void> TakeOrder(const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    const nlohmann::json order = ParseBody(aRequest);
+    const std::string operation = order.value("Operation", "");
+    const std::string name = order.value("Id", "");
+    int status = 200;
+    if (operation == "release") {
+      this->reservations.erase(name);
+    } else if (operation == "reserve") {
+      const std::uint64_t tokens = order.value("Tokens", std::uint64_t{ 0 });
+      const auto hold = std::chrono::milliseconds(order.value("HoldMs", 0));
+      const std::uint64_t others = this->ReservedTokens() - this->reservations[name].tokens;
+      if (others + tokens <= FLAGS_memory) {
+        this->reservations[name] = { tokens, Now() + hold };
+      } else {
+        this->reservations.erase(name);
+        status = 409;
+      }
+    } else {
+      status = 400;
+    }
+    const nlohmann::json answer{ { "FreeSlots", FLAGS_memory - this->ReservedTokens() } };
+    co_await RespondJson(aExchange, status, answer);
+  }
+
+  std::vector<Field> Fields(const HttpRequest& aRequest) const
+  {
+    return { { kRequestId, aRequest.Field(kRequestId) }, { kSignature, "sig-" + FLAGS_name } };
+  }
+
+  asio::awaitable<void> Refuse(int aStatus, const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    std::vector<Field> fields = this->Fields(aRequest);
+    fields.emplace_back(kNotExecuted, "1");
+    fields.emplace_back("At-Server", FLAGS_listen);
+    co_await aExchange.Respond(aStatus, std::move(fields), MakeBody(""));
+  }
+
+  asio::awaitable<void> Run(const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    const auto counts = internal::SplitCommas(aRequest.Field(kTokens));
+    const auto prompt =
+      counts.empty() ? 0 : internal::ParseNumber<std::uint64_t>(counts.front()).value_or(0);
+    // A prompt beyond this engine's memory runs only with memory that was reserved elsewhere.
+    if (prompt > FLAGS_memory && aRequest.Field(kHelpers).find('/') == std::string::npos) {
+      co_await this->Refuse(503, aRequest, aExchange);
+      co_return;
+    }
+    std::ofstream(FLAGS_effects, std::ios::app) << aRequest.Field(kRequestId) << "\n";
+    ++this->running;
+    if (FLAGS_engine) {
+      co_await this->Stream(aRequest, aExchange);
+    } else {
+      const nlohmann::json answer{ { "target", FLAGS_name },
+                                   { "account", aRequest.Field("X-Sycamorepost-Tenant") },
+                                   { "key", aRequest.Field("Authorization") },
+                                   { "echo", *aRequest.body } };
+      co_await aExchange.Respond(200, this->Fields(aRequest), MakeBody(answer.dump()));
+    }
+    --this->running;
+  }
+
+  asio::awaitable<void> Stream(const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    const auto after = internal::ParseNumber<std::uint64_t>(aRequest.Field("Last-Event-Id"));
+    std::vector<Field> fields = this->Fields(aRequest);
+    fields.emplace_back("Content-Type", "text/event-stream");
+    bool open = co_await aExchange.BeginStream(200, std::move(fields));
+    const std::uint64_t first = after ? *after + 1 : 0;
+    for (std::uint64_t id = first; open && id < FLAGS_events; ++id) {
+      if (this->breakAfter > 0 && id >= this->breakAfter) {
+        co_await aExchange.Write("id: " + std::to_string(id)); // Half an event.
+        aExchange.Drop();
+        co_return;
+      }
+      co_await sycamorepost::Sleep(this->context, std::chrono::milliseconds(FLAGS_event_ms));
+      std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+      open = co_await aExchange.Write(std::move(event));
+    }
+    if (open) {
+      co_await aExchange.EndStream({});
+    }
+  }
+
+  asio::io_context& context;
+  platform::StoreClient store;
+  std::string state = "ready";
+  std::int64_t startedAtUnixMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   std::chrono::system_clock::now().time_since_epoch())
+                                   .count();
+  std::map<std::string, Reservation> reservations; // By name.
+  std::uint64_t running = 0;
+  std::uint64_t breakAfter = 0; // Streams break off after as many events; 0 for never.
+};
+
+} // namespace
+} // namespace sycamorepost::standin
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  return sycamorepost::standin::RunService<sycamorepost::standin::RegisteredTarget>(FLAGS_listen);
+}
--- /dev/null
+++ b/test/standins/store.cpp
@@ -0,0 +1,169 @@
+// The stand-in of the platform's store: topics of keyed records, read by offset or by newest
+// record, with outages and with answers that are lost after the effect.
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <gflags/gflags.h>
+
+#include "StandIn.h"
+#include "sycamorepost/internal/Text.h"
+
+DEFINE_string(listen, "", "The ip:port to listen on.");
+DEFINE_uint64(seed, 1, "Seed of the faults.");
+
+namespace sycamorepost::standin {
+namespace {
+
+constexpr int kByteBits = 8;
+
+std::string
+BigEndian(std::uint64_t aNumber, int aBytes)
+{
+  std::string bytes;
+  for (int shift = (aBytes - 1) * kByteBits; shift >= 0; shift -= kByteBits) {
+    bytes.push_back(static_cast<char>((aNumber >> shift) & 0xff));
+  }
+  return bytes;
+}
+
+std::string
+EncodeBase64(const std::string& aBytes)
+{
+  std::string text(beast::detail::base64::encoded_size(aBytes.size()), '\0');
+  text.resize(beast::detail::base64::encode(text.data(), aBytes.data(), aBytes.size()));
+  return text;
+}
+
+// A record is a key's length, the key and the value; without a value the key is dropped.
+std::pair<std::string, std::string>
+SplitRecord(const std::string& aRecord)
+{
+  const auto length = static_cast<unsigned char>(aRecord.empty() ? 0 : aRecord.front());
+  return { aRecord.substr(std::min<std::size_t>(1, aRecord.size()), length),
+           aRecord.substr(std::min<std::size_t>(1 + length, aRecord.size())) };
+}
+
+struct Topic
+{
+  explicit Topic(asio::io_context& aContext)
+    : changed(aContext)
+  {
+  }
+
+  std::vector<std::string> records;            // By offset, without their length.
+  std::map<std::string, std::uint64_t> newest; // Offset by key.
+  asio::steady_timer changed;
+};
+
+class Store
+{
+public:
+  explicit Store(asio::io_context& aContext)
+    : context(aContext)
+    , random(FLAGS_seed)
+  {
+  }
+
+  asio::awaitable<void> Serve(HttpRequest aRequest, HttpExchange& aExchange)
+  {
+    const std::string path = aRequest.Path();
+    if (path == "/faults") {
+      const nlohmann::json json = ParseBody(aRequest);
+      this->outage = json.value("outage", false);
+      this->loseAnswers = json.value("lose_answers", 0.0);
+      co_await RespondJson(aExchange, 200, nlohmann::json::object());
+    } else if (this->outage) {
+      co_await RespondError(aExchange, 503, "outage");
+    } else if (path == "/log-append") {
+      co_await this->Append(this->Find(aRequest), aRequest, aExchange);
+    } else if (path == "/log-read") {
+      co_await this->Read(this->Find(aRequest), aRequest, aExchange);
+    } else if (path == "/log-newest") {
+      co_await this->ListNewest(this->Find(aRequest), aExchange);
+    } else {
+      co_await RespondError(aExchange, 404, "no such call");
+    }
+  }
+
+private:
+  Topic& Find(const HttpRequest& aRequest)
+  {
+    std::unique_ptr<Topic>& topic = this->topics[aRequest.Query("Topic")];
+    if (!topic) {
+      topic = std::make_unique<Topic>(this->context);
+    }
+    return *topic;
+  }
+
+  asio::awaitable<void> Append(Topic& aTopic, const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    static constexpr std::size_t kLengthBytes = 4;
+    const std::uint64_t offset = aTopic.records.size();
+    if (aRequest.body->size() > kLengthBytes) {
+      const std::string record = aRequest.body->substr(kLengthBytes); // One record a call.
+      const auto [key, value] = SplitRecord(record);
+      if (value.empty()) {
+        aTopic.newest.erase(key);
+      } else {
+        aTopic.newest[key] = offset;
+      }
+      aTopic.records.push_back(record);
+      aTopic.changed.cancel();
+    }
+    if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->loseAnswers) {
+      aExchange.Drop();
+      co_return;
+    }
+    const nlohmann::json answer{ { "Offset", offset }, { "End", aTopic.records.size() } };
+    co_await RespondJson(aExchange, 200, answer);
+  }
+
+  asio::awaitable<void> Read(Topic& aTopic, const HttpRequest& aRequest, HttpExchange& aExchange)
+  {
+    const auto from = internal::ParseNumber<std::uint64_t>(aRequest.Query("From")).value_or(0);
+    const auto waitMs = internal::ParseNumber<std::int64_t>(aRequest.Query("WaitMs")).value_or(0);
+    if (waitMs > 0 && from >= aTopic.records.size()) {
+      if (aTopic.changed.expiry() <= std::chrono::steady_clock::now()) {
+        aTopic.changed.expires_after(std::chrono::milliseconds(waitMs));
+      }
+      co_await aTopic.changed.async_wait(kTuple);
+    }
+    std::string page = BigEndian(aTopic.records.size(), 8) + BigEndian(0, 8);
+    for (std::size_t i = from; i < aTopic.records.size(); ++i) {
+      page += BigEndian(aTopic.records[i].size(), 4) + aTopic.records[i];
+    }
+    co_await aExchange.Respond(200, {}, MakeBody(std::move(page)));
+  }
+
+  asio::awaitable<void> ListNewest(Topic& aTopic, HttpExchange& aExchange)
+  {
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto& [key, offset] : aTopic.newest) {
+      const std::string value = SplitRecord(aTopic.records[offset]).second;
+      entries.push_back({ { "Key", key }, { "Value", EncodeBase64(value) }, { "Offset", offset } });
+    }
+    const nlohmann::json page{ { "Entries", std::move(entries) },
+                               { "MorePages", false },
+                               { "End", aTopic.records.size() } };
+    co_await RespondJson(aExchange, 200, page);
+  }
+
+  asio::io_context& context;
+  std::map<std::string, std::unique_ptr<Topic>> topics;
+  std::mt19937_64 random;
+  bool outage = false;
+  double loseAnswers = 0; // Share of appends whose answer is lost after the effect.
+};
+
+} // namespace
+} // namespace sycamorepost::standin
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  return sycamorepost::standin::RunService<sycamorepost::standin::Store>(FLAGS_listen);
+}
