Keep short streams on few engines; split a long prompt by the time that is left

Every engine had a few drafts, as only the first draft on an engine was dear, so no engine was free to read. - A long prompt was split for its route's objective even when its caller had less time left, and was then refused for coming too late (the path test's large prompt).

Change: a short prompt joins the engine that has most short streams, up to the share that engines may have. The objective that a prompt is split for is at most half of the time that is left.

Tests that failed first: ShortPromptsJoinTheFullestEngine, ALongPromptIsSplitByTheTimeThatIsLeft.

--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -104,7 +104,10 @@
               { { "target", aFlow.attempt->placement.target.instance },
                 { "after_ms", std::to_string(ToMillis(this->now - aFlow.arrivedAt)) } },
               false);
+  } else {
+    aFlow.longestPause = std::max(aFlow.longestPause, this->now - aFlow.lastEventAt);
   }
+  aFlow.lastEventAt = this->now;
   if (!std::exchange(aFlow.attempt->delivered, true)) {
     for (const PlacedWork& work : aFlow.attempt->placement.works) {
       this->book.MarkRead(work, this->now);
@@ -159,6 +162,7 @@
   this->Log(*flow,
             "done",
             { { "target", instance },
+              { "pause_ms", std::to_string(ToMillis(flow->longestPause)) },
               { "after_ms", std::to_string(ToMillis(this->now - flow->arrivedAt)) } },
             false);
   this->End(*flow);
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -76,6 +76,8 @@
   std::uint32_t placements = 0;
   bool headSent = false;
   std::optional<std::uint64_t> lastEvent; // The last event that the caller has.
+  Instant lastEventAt;                    // When it was passed on.
+  Duration longestPause{};                // Between two events that were passed on.
   std::string lastFailure;
   Duration busyFor{}; // What the last refusal of a target suggests to wait.
 };
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -19,6 +19,10 @@
 // Placements of one request in all, whatever became of them.
 constexpr std::uint32_t kMaxPlacements = 8;
 
+// The first event has to come within this part of the time that is left, as the rest of the answer
+// has to follow: reading and writing a long prompt take about as long as each other.
+constexpr int kFirstEventPart = 2;
+
 // A plain call may take this share of the time that is left before another target is tried.
 constexpr int kFirstAnswerShare = 3;
 
@@ -80,7 +84,7 @@
   ask.service = &aService;
   ask.promptTokens = aFlow.request.promptTokens;
   ask.answerTokens = aFlow.request.answerTokens;
-  ask.objective = aFlow.route->objective;
+  ask.objective = std::min(aFlow.route->objective, (aFlow.deadline - this->now) / kFirstEventPart);
   ask.gapObjective = aFlow.route->gapObjective;
   ask.tightGap = aFlow.table->ShortestGap();
   ask.looseGap = aFlow.table->NextGap();
@@ -132,6 +136,11 @@
     }
     start.helpers.push_back(std::move(name));
   }
+  const TargetLoad load = this->book.LoadOf(start.instance, this->now);
+  std::string helpers;
+  for (const ReadingHelper& helper : aPlacement.helpers) {
+    helpers += (helpers.empty() ? "" : ",") + helper.instance;
+  }
   for (const PlacedWork& work : aPlacement.works) {
     this->book.Place(work, this->now);
   }
@@ -139,7 +148,9 @@
             "sent",
             { { "target", start.instance },
               { "address", start.address },
-              { "helpers", std::to_string(start.helpers.size()) },
+              { "helpers", helpers },
+              { "running", std::to_string(load.running) },
+              { "read_ms", std::to_string(static_cast<std::int64_t>(load.ReadMs(this->now))) },
               { "expected_ms", std::to_string(static_cast<std::int64_t>(aPlacement.firstMs)) },
               { "remaining_ms", std::to_string(ToMillis(start.remaining)) },
               { "run", std::to_string(aFlow.runs + 1) } },
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -25,6 +25,10 @@
 // two other short prompts that are read before it.
 constexpr double kOpenMs = 60;
 
+// What each tight stream on an engine gains a short request that joins it, in milliseconds: a full
+// share outweighs two other short prompts, so that the engines with few streams run empty.
+constexpr double kPackMs = 8;
+
 // What each tight stream beyond its share costs, in milliseconds.
 constexpr double kCrowdMs = 40;
 
@@ -304,7 +308,8 @@
 {
   const double most = kTightShare * aTraits.slots;
   const double over = std::max(0.0, aCandidate.load.tight + 1 - most);
-  return over * kCrowdMs + (aCandidate.load.tight == 0 ? kOpenMs : 0);
+  const double beside = std::min<double>(aCandidate.load.tight, most);
+  return over * kCrowdMs + (aCandidate.load.tight == 0 ? kOpenMs : 0) - beside * kPackMs;
 }
 
 // Fills in who reads, who writes and what it costs.
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -192,6 +192,8 @@
   CPPUNIT_TEST(ARequestThatBreaksEverywhereIsStopped);
   CPPUNIT_TEST(ABurstOfShortPromptsKeepsMostOnTime);
   CPPUNIT_TEST(ALongPromptSparesStreamsWithShortPauses);
+  CPPUNIT_TEST(ShortPromptsJoinTheFullestEngine);
+  CPPUNIT_TEST(ALongPromptIsSplitByTheTimeThatIsLeft);
   CPPUNIT_TEST(ARestartedPeerIsToldTheWholeLoad);
   CPPUNIT_TEST_SUITE_END();
 
@@ -498,6 +500,48 @@
     }
   }
 
+  // Pattern: short burst, then long burst (a few short streams are left on every engine, so that no
+  // engine is free to read).
+  void ShortPromptsJoinTheFullestEngine()
+  {
+    World world(8);
+    std::vector<TargetShare> left;
+    for (int i = 1; i <= 8; ++i) {
+      const std::uint32_t streams = i == 3 ? 5 : 1;
+      left.push_back({ "engine-" + std::to_string(i), streams, streams, streams * 5000, 0, 0 });
+    }
+    world.Step(PeerLoadTold{ "peer", 1, left, true });
+    for (int i = 0; i < 4; ++i) {
+      world.Ask("/draft/", 3000);
+      CPPUNIT_ASSERT_EQUAL(std::string("engine-3"), world.starts.back().instance);
+      world.Head(200);
+      world.Data(Event(1));
+      world.Pass(milliseconds(60));
+    }
+  }
+
+  // Pattern: long prompts late in their time (resumed, or from callers with little patience).
+  void ALongPromptIsSplitByTheTimeThatIsLeft()
+  {
+    const auto helpersFor = [](milliseconds aDeadline) {
+      World world(12);
+      ForwardRequest request;
+      request.handle = 1;
+      request.host = kHost;
+      request.path = "/sift/1";
+      request.body = MakeBody("");
+      request.key = kKey;
+      request.promptTokens = 100'000; // 1.5 s of reading on one engine.
+      request.answerTokens = 100;
+      request.deadline = aDeadline;
+      world.Step(request);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.starts.size());
+      return world.starts.back().helpers.size();
+    };
+    CPPUNIT_ASSERT(helpersFor(milliseconds(10'000)) <= 2);
+    CPPUNIT_ASSERT(helpersFor(milliseconds(1'200)) >= 3);
+  }
+
   void ARestartedPeerIsToldTheWholeLoad()
   {
     World world;
