Spread the choice of a short prompt over engines that others may be choosing too

Cause: entries that know the same choose the same engine.

Change: one of as many engines is taken as there may be prompts that this entry does not know of (its own rate, the entries heard, the delay of telling), among those that are at most two short prompts' reading dearer.

--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/Placement.h
@@ -28,6 +28,7 @@
   Duration gapObjective{};     // The shortest pause that the engine's streams may show.
   std::set<std::string> tried; // Instances that are not to be used again.
   std::string domain;          // The entry's failure domain.
+  double unseen = 0;           // Prompts that others may have placed and not told of yet.
 };
 
 // An engine that reads a part of the prompt.
--- /dev/null
+++ b/include/sycamorepost/forward/RateMeter.h
@@ -0,0 +1,38 @@
+// Offers the rate of events over about the last second.
+#ifndef SYCAMOREPOST_FORWARD_RATE_METER_H_
+#define SYCAMOREPOST_FORWARD_RATE_METER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "sycamorepost/Types.h"
+
+namespace sycamorepost {
+
+// An exponentially weighted rate with a time constant of one second.
+class RateMeter
+{
+public:
+  // Notes an event.
+  void Add(Instant aNow)
+  {
+    this->rate = this->At(aNow) + 1;
+    this->notedAt = aNow;
+  }
+
+  // Returns the events a second.
+  double At(Instant aNow) const
+  {
+    const std::chrono::duration<double> passed = aNow - this->notedAt;
+    return this->rate * std::exp(-std::max(0.0, passed.count()));
+  }
+
+private:
+  double rate = 0;
+  Instant notedAt;
+};
+
+} // namespace sycamorepost
+
+#endif // SYCAMOREPOST_FORWARD_RATE_METER_H_
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -9,6 +9,7 @@
 #include "sycamorepost/forward/EventStream.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 #include "sycamorepost/forward/Placement.h"
+#include "sycamorepost/forward/RateMeter.h"
 #include "sycamorepost/forward/RetryBudget.h"
 
 namespace sycamorepost::internal {
@@ -179,6 +180,7 @@
     Instant heardAt;
   };
   std::map<std::string, KnownPeer> peers;
+  RateMeter promptRate;                       // Prompts that this entry places.
   std::map<std::string, RetryBudget> budgets; // By service.
   struct Breaks
   {
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -16,6 +16,10 @@
 // retransmission.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
+// Until the other entries know of a placement: the delay of telling it, and one way between failure
+// domains.
+constexpr Duration kUntold = std::chrono::milliseconds(40);
+
 // Placements of one request in all, whatever became of them.
 constexpr std::uint32_t kMaxPlacements = 8;
 
@@ -90,6 +94,8 @@
   ask.looseGap = aFlow.table->NextGap();
   ask.tried = aFlow.tried;
   ask.domain = this->config.domain;
+  ask.unseen = this->promptRate.At(this->now) * static_cast<double>(this->peers.size()) *
+               std::chrono::duration<double>(kUntold).count();
   return ask;
 }
 
@@ -155,6 +161,9 @@
               { "remaining_ms", std::to_string(ToMillis(start.remaining)) },
               { "run", std::to_string(aFlow.runs + 1) } },
             false);
+  if (aFlow.request.promptTokens > 0) {
+    this->promptRate.Add(this->now);
+  }
   attempt.placement = std::move(aPlacement);
   this->attemptOwner[attempt.id] = aFlow.request.handle;
   aFlow.attempt = std::move(attempt);
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -29,6 +29,10 @@
 // share outweighs two other short prompts, so that the engines with few streams run empty.
 constexpr double kPackMs = 8;
 
+// How much dearer than the cheapest one an engine may be that is taken so that entries do not all
+// choose the same: as much as two other short prompts that are read before.
+constexpr double kSpreadMs = 60;
+
 // What each tight stream beyond its share costs, in milliseconds.
 constexpr double kCrowdMs = 40;
 
@@ -334,6 +338,22 @@
   return placement;
 }
 
+// Entries that know the same would all choose the same engine. One of as many engines is taken as
+// there may be prompts that this entry does not know of, if it is hardly worse.
+void
+SpreadChoice(double aUnseen, std::vector<Candidate>& aSorted, std::mt19937_64& aRandom)
+{
+  const double most = aSorted.front().cost + kSpreadMs;
+  const auto tooDear =
+    std::find_if(aSorted.begin(), aSorted.end(), [most](const Candidate& aCandidate) {
+      return aCandidate.cost > most;
+    });
+  const auto close = static_cast<double>(std::distance(aSorted.begin(), tooDear));
+  const auto last = static_cast<std::ptrdiff_t>(std::min(aUnseen, close - 1));
+  const auto pick = std::uniform_int_distribution<std::ptrdiff_t>(0, last)(aRandom);
+  std::rotate(aSorted.begin(), aSorted.begin() + pick, aSorted.begin() + pick + 1);
+}
+
 Placement
 PlacePrompt(const PlacementAsk& aAsk,
             std::vector<Candidate> aCandidates,
@@ -350,7 +370,9 @@
                               : candidate.load.tight * kTightMs + LooseWorth(candidate) * kLooseMs);
   }
   SortByCost(aCandidates, aRandom);
-  if (!isShort) {
+  if (isShort) {
+    SpreadChoice(aAsk.unseen, aCandidates, aRandom);
+  } else {
     PutWriterFirst(aCandidates, traits);
   }
   const std::uint64_t need = std::uint64_t{ aAsk.promptTokens } + aAsk.answerTokens;
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -62,8 +62,9 @@
 class World
 {
 public:
-  explicit World(int aEngines = 4)
-    : reducer(ForwardConfig{ .name = "entry-1", .domain = "hobart", .retrySlack = 200 })
+  explicit World(int aEngines = 4, std::uint64_t aSeed = 0)
+    : reducer(
+        ForwardConfig{ .name = "entry-1", .domain = "hobart", .seed = aSeed, .retrySlack = 200 })
   {
     this->Step(RoutesChanged{ MakeTable(1) });
     for (int i = 1; i <= aEngines; ++i) {
@@ -193,6 +194,7 @@
   CPPUNIT_TEST(ABurstOfShortPromptsKeepsMostOnTime);
   CPPUNIT_TEST(ALongPromptSparesStreamsWithShortPauses);
   CPPUNIT_TEST(ShortPromptsJoinTheFullestEngine);
+  CPPUNIT_TEST(EntriesThatKnowTheSameSpreadTheirChoice);
   CPPUNIT_TEST(ALongPromptIsSplitByTheTimeThatIsLeft);
   CPPUNIT_TEST(ARestartedPeerIsToldTheWholeLoad);
   CPPUNIT_TEST_SUITE_END();
@@ -520,6 +522,36 @@
     }
   }
 
+  // Pattern: short burst over many entries (each knows of the others' placements a little late, and
+  // all would join the same engine).
+  void EntriesThatKnowTheSameSpreadTheirChoice()
+  {
+    constexpr int kEntries = 20;
+    std::map<std::string, int> chosen;
+    for (std::uint64_t seed = 1; seed <= kEntries; ++seed) {
+      World world(16, seed);
+      std::vector<TargetShare> told;
+      for (int i = 1; i <= 16; ++i) {
+        const std::uint32_t streams = i == 1 ? 5 : 4; // One is the fullest.
+        told.push_back({ "engine-" + std::to_string(i), streams, streams, 20'000, 0, 0 });
+      }
+      for (int peer = 1; peer < kEntries; ++peer) {
+        const auto loads = peer == 1 ? told : std::vector<TargetShare>();
+        world.Step(PeerLoadTold{ "peer-" + std::to_string(peer), 1, loads, true });
+      }
+      for (int i = 0; i < 12; ++i) { // The burst so far; its streams have ended.
+        const std::uint64_t handle = world.Ask("/draft/", 3000);
+        world.Step(ForwardCallerGone{ handle });
+        world.Pass(milliseconds(50));
+      }
+      world.Ask("/draft/", 3000);
+      ++chosen[world.starts.back().instance];
+    }
+    for (const auto& [instance, entries] : chosen) {
+      CPPUNIT_ASSERT_MESSAGE(instance, entries <= kEntries / 3);
+    }
+  }
+
   // Pattern: long prompts late in their time (resumed, or from callers with little patience).
   void ALongPromptIsSplitByTheTimeThatIsLeft()
   {
