Pace the reads of registrations by the time in which a leaving target must be left alone

Change: the setting leave_bound, filled in from the platform's own; two reads fit into it. The follower's settings are one type.

--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -67,8 +67,10 @@
       [](const std::string& /*aPeer*/) {}) // The next message tells the same again.
   , follower(
       this->context,
-      this->settings.storeAddress,
-      { this->settings.name, this->settings.peerAddress },
+      { this->settings.storeAddress,
+        this->settings.name,
+        this->settings.peerAddress,
+        this->settings.leaveBound },
       { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
          this->OnRoutes(aTable, aText);
        },
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -279,6 +279,7 @@
   forward.Number("retry_ratio", settings.retryRatio);
   forward.Number("retry_slack", settings.retrySlack);
   forward.Span("reservation_lease", settings.reservationLease);
+  forward.Span("leave_bound", settings.leaveBound);
   forward.Finish();
   SortErrors(aErrors);
   return aErrors.empty() ? std::optional(settings) : std::nullopt;
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -48,6 +48,7 @@
   double retryRatio = 0.2;      // See ForwardConfig.
   double retrySlack = 20;
   Duration reservationLease = std::chrono::seconds(3);
+  Duration leaveBound = std::chrono::seconds(2); // Until a target that leaves must be left alone.
 };
 
 // The settings of a sidecar.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -259,6 +259,8 @@
     std::vector<SettingsError> errors;
     CPPUNIT_ASSERT(IsForwardSettings(good));
     CPPUNIT_ASSERT(ParseForwardSettings(good, errors).has_value());
+    const auto patient = ParseForwardSettings(good + "leave_bound = \"3000ms\"\n", errors);
+    CPPUNIT_ASSERT(patient && patient->leaveBound == std::chrono::seconds(3));
     CPPUNIT_ASSERT(!ParseForwardSettings(good + "retry_ratio = -1\nretri_slack = 2\n", errors));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), errors.size());
     CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
