--- a/include/sycamorepost/Types.h
+++ b/include/sycamorepost/Types.h
@@ -17,20 +17,16 @@
 // A span of time. The core computes with it but never reads a clock.
 using Duration = std::chrono::microseconds;
 
-// The clock that instants belong to. The core never reads it; a type of its own keeps other clocks'
-// times from being mixed with it.
+// Names the clock that instants belong to. The core never reads a clock; the type keeps times of
+// other clocks from being mixed with it.
 struct MonotonicClock
 {
-  using rep = Duration::rep;
-  using period = Duration::period;
   using duration = Duration;
-  using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
 };
 
 // A point on the process's own monotonic clock. It means nothing to another process, so messages
 // carry remaining time instead.
-using Instant = MonotonicClock::time_point;
+using Instant = std::chrono::time_point<MonotonicClock>;
 
 // A body that several parts read and nobody changes; sharing it avoids copies of large prompts.
 using SharedBody = std::shared_ptr<const std::string>;
