Count the time to register again from the store's earliest return

What lapses then is kept for 2.3 s, counted from when this entry noticed the return, which was up to 1.6 s later as failed reads are repeated at growing intervals.

Change: the time is 2.1 s and counts from the last read that failed.

--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -44,9 +44,9 @@
   // Replaces the whole content by a full listing; whoever is missing counts as removed.
   bool ApplyListing(const std::vector<RegisteredTarget>& aTargets, Instant aNow);
 
-  // Notes that the store was not reached, or is reached again.
-  void NoteStoreLost() { this->storeLost = true; }
-  void NoteStoreReached(Instant aNow);
+  // Notes that the store was not reached, each time, or that it is reached.
+  void NoteStoreLost(Instant aNow);
+  void NoteStoreReached();
 
   // Removes what stayed away for too long; returns whether anything was removed.
   bool Expire(Instant aNow);
@@ -59,7 +59,8 @@
   std::map<std::string, RegisteredTarget> targets;
   std::map<std::string, Instant> lapsedUntil; // When a lapsed registration is removed.
   bool storeLost = false;
-  Instant reachedAt;
+  Instant
+    lostAt; // When the store was last not reached; it has been back since then at the earliest.
 };
 
 } // namespace sycamorepost
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -8,7 +8,7 @@
 
 // Targets that live register again within two seconds of the store's return; the rest is for the
 // way of the record to this process.
-constexpr Duration kReturnTime = std::chrono::milliseconds(2300);
+constexpr Duration kReturnTime = std::chrono::milliseconds(2100);
 
 } // namespace
 
@@ -51,15 +51,23 @@
 }
 
 void
-TargetDirectory::NoteStoreReached(Instant aNow)
+TargetDirectory::NoteStoreLost(Instant aNow)
+{
+  this->storeLost = true;
+  this->lostAt = aNow;
+}
+
+// The time to return is counted from the store's earliest return: a target that leaves for good
+// just after it must not be kept for longer than that.
+void
+TargetDirectory::NoteStoreReached()
 {
   if (!this->storeLost) {
     return;
   }
   this->storeLost = false;
-  this->reachedAt = aNow;
   for (auto& [instance, until] : this->lapsedUntil) {
-    until = std::min(until, aNow + kReturnTime);
+    until = std::min(until, this->lostAt + kReturnTime);
   }
 }
 
@@ -71,13 +79,13 @@
     return false;
   }
   const bool afterOutage =
-    this->storeLost || (this->reachedAt != Instant() && aNow < this->reachedAt + kReturnTime);
+    this->storeLost || (this->lostAt != Instant() && aNow < this->lostAt + kReturnTime);
   // One that had said that it leaves is gone for good.
   if (!afterOutage || found->second.draining) {
     this->targets.erase(found);
     return true;
   }
-  this->lapsedUntil[aInstance] = this->storeLost ? Instant::max() : this->reachedAt + kReturnTime;
+  this->lapsedUntil[aInstance] = this->storeLost ? Instant::max() : this->lostAt + kReturnTime;
   return false;
 }
 
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(TheStoresPagesAreCut);
   CPPUNIT_TEST(HeaderFieldsAreTranslated);
   CPPUNIT_TEST(TargetsThatLapseDuringAnOutageAreKeptForAWhile);
+  CPPUNIT_TEST(TargetsThatLeaveJustAfterAnOutageAreLeftAlone);
   CPPUNIT_TEST(EventsAreCutWhereverTheBytesEnd);
   CPPUNIT_TEST(TheLogNeitherBlocksNorGrows);
   CPPUNIT_TEST(SettingsAreChecked);
@@ -208,8 +209,8 @@
     directory.Apply({ "i-1", DecodeRegistration("i-1", kRegistration, reason) }, now);
 
     // Found missing when the store is back: kept until it had time to register again.
-    directory.NoteStoreLost();
-    directory.NoteStoreReached(now);
+    directory.NoteStoreLost(now);
+    directory.NoteStoreReached();
     CPPUNIT_ASSERT(!directory.ApplyListing({}, now));
     now += std::chrono::seconds(2);
     CPPUNIT_ASSERT(!directory.Expire(now));
@@ -219,6 +220,25 @@
     CPPUNIT_ASSERT(directory.Targets().empty());
   }
 
+  void TargetsThatLeaveJustAfterAnOutageAreLeftAlone()
+  {
+    std::string reason;
+    const Instant lost{ std::chrono::hours(1) };
+    TargetDirectory directory;
+    directory.Apply({ "i-1", DecodeRegistration("i-1", kRegistration, reason) }, lost);
+    directory.NoteStoreLost(lost);
+
+    // The store is back at once, but the next read comes late; the target leaves in between.
+    const Instant noticed = lost + std::chrono::milliseconds(900);
+    directory.NoteStoreReached();
+    CPPUNIT_ASSERT(!directory.Apply({ "i-1", std::nullopt }, noticed));
+
+    // Two seconds after the store's return it has to be taken as gone, however late that was
+    // noticed.
+    CPPUNIT_ASSERT(directory.Expire(lost + std::chrono::milliseconds(2200)));
+    CPPUNIT_ASSERT(directory.Targets().empty());
+  }
+
   void EventsAreCutWhereverTheBytesEnd()
   {
     const std::string text = "version: 3\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
