Use one Sleep, one reading of the test environment and one delay of telling; split Placement

Found on reading the whole change once more; behaviour stays as it is. - The stand-ins had a Sleep of their own beside net/Clock.h's; one of them needed the other's name in full.

Seen and left: PeerBus and the load tool measure idle spans on the steady clock, which is right for spans in which nothing is promised. The stand-ins name the platform's fields themselves, as sharing the adapter's constants would hide a wrong name from the path test.

--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -18,6 +18,10 @@
 // that another target can still answer.
 inline constexpr Duration kShortestGapBound = std::chrono::milliseconds(900);
 
+// Loads are told to peers this long after the first change: several changes share one message, and
+// an engine's pass takes twice as long.
+inline constexpr Duration kTellDelay = std::chrono::milliseconds(25);
+
 // With less time left than this no target could answer.
 inline constexpr Duration kShortestRemaining = std::chrono::milliseconds(5);
 
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -9,6 +9,7 @@
 using internal::Flow;
 using internal::kShortestGapBound;
 using internal::kShortestRemaining;
+using internal::kTellDelay;
 
 namespace {
 
@@ -16,9 +17,9 @@
 // retransmission.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
-// Until the other entries know of a placement: the delay of telling it, and one way between failure
-// domains.
-constexpr Duration kUntold = std::chrono::milliseconds(40);
+// Until the other entries know of a placement: the delay of telling it, one way between failure
+// domains, and a wake-up on either side.
+constexpr Duration kUntold = kTellDelay + std::chrono::milliseconds(15);
 
 // Placements of one request in all, whatever became of them.
 constexpr std::uint32_t kMaxPlacements = 8;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -10,13 +10,10 @@
 
 using internal::Attempt;
 using internal::Flow;
+using internal::kTellDelay;
 
 namespace {
 
-// Loads are told to peers this long after the first change: several changes share one message, and
-// an engine's pass takes twice as long.
-constexpr Duration kTellDelay = std::chrono::milliseconds(25);
-
 // How often a peer that has nothing to tell is heard; three misses and it is taken as gone.
 constexpr Duration kHouseEvery = std::chrono::seconds(1);
 constexpr Duration kPeerGone = std::chrono::seconds(3);
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -3,10 +3,15 @@
 #include <algorithm>
 #include <limits>
 
+#include "PlacementMemory.h"
 #include "sycamorepost/forward/EngineEstimate.h"
 
 namespace sycamorepost {
 
+using internal::Candidate;
+using internal::kPlannedMemoryShare;
+using internal::PlanMemory;
+
 namespace {
 
 // The protocol's bound on helpers of one request.
@@ -61,21 +66,6 @@
 // What each further helper costs: two orders' worth of calls, in units of a short request.
 constexpr double kHelperWorth = 0.02;
 
-// The part of an engine's memory that one prompt may take without reserving memory elsewhere: more
-// than half is left for a full batch of usual prompts.
-constexpr double kOwnMemoryShare = 0.4;
-
-// The part of an engine's memory that is planned with: the rest is for answers that turn out
-// longer.
-constexpr double kPlannedMemoryShare = 0.9;
-
-// The memory that one reservation takes, as a part of an engine's memory: small enough to find
-// beside a batch of usual prompts.
-constexpr double kReserveShare = 0.16;
-
-// Memory comes in blocks of this many tokens; a reservation is rounded up by one of them.
-constexpr std::uint64_t kBlockTokens = 16;
-
 // The passes until one of a full batch of usual streams ends: some thirty events each, over a batch
 // of some sixteen.
 constexpr double kPassesToPlace = 2;
@@ -86,15 +76,6 @@
 // What one failed exchange in two is worth, in milliseconds of waiting: about a second attempt.
 constexpr double kFailureMs = 600;
 
-struct Candidate
-{
-  const RegisteredTarget* target = nullptr;
-  TargetLoad load;
-  double readMs = 0; // Reading that is left there.
-  double waitMs = 0; // Until it begins to read something new.
-  double cost = 0;
-};
-
 std::vector<Candidate>
 Collect(const PlacementAsk& aAsk,
         const std::map<std::string, RegisteredTarget>& aTargets,
@@ -213,39 +194,6 @@
   std::rotate(aCandidates.begin(), best, best + 1);
 }
 
-// Spreads the memory of a large prompt over reservations; returns false when it does not fit.
-bool
-PlanMemory(const EngineTraits& aTraits,
-           std::uint64_t aNeed,
-           const std::vector<Candidate>& aChosen,
-           Placement& aPlacement)
-{
-  const auto total = static_cast<double>(aTraits.memoryTokens);
-  const auto need = static_cast<double>(aNeed);
-  const auto freeOf = [&](const Candidate& aCandidate) {
-    return kPlannedMemoryShare * total - static_cast<double>(aCandidate.load.memory);
-  };
-  if (need <= kOwnMemoryShare * total && need <= freeOf(aChosen.front())) {
-    aPlacement.works.front().memory = aNeed;
-    return true;
-  }
-  const double piece = std::max(kReserveShare * total, need / static_cast<double>(aChosen.size()));
-  double left = need - std::min(piece, std::max(0.0, freeOf(aChosen.front())));
-  for (std::size_t i = 1; i < aChosen.size() && left > 0; ++i) {
-    const double share = std::min(left, piece);
-    if (freeOf(aChosen[i]) < share) {
-      continue;
-    }
-    ReadingHelper& helper = aPlacement.helpers[i - 1];
-    helper.reserveTokens = (static_cast<std::uint64_t>(share) / kBlockTokens + 2) * kBlockTokens;
-    aPlacement.works[i].memory = helper.reserveTokens;
-    left -= share;
-  }
-  const double own = std::min(piece, std::max(0.0, freeOf(aChosen.front()))) + std::max(0.0, left);
-  aPlacement.works.front().memory = static_cast<std::uint64_t>(own);
-  return own <= std::max(0.0, freeOf(aChosen.front()));
-}
-
 // What reading a part does to the streams of an engine, in short requests that it makes late.
 double
 HarmOf(const PlacementAsk& aAsk,
--- a/test/ForwardPathTest.cpp
+++ b/test/ForwardPathTest.cpp
@@ -1,19 +1,16 @@
 // The whole path on the platform's published protocol: forwarding entries, targets that register
 // themselves in the store's stand-in, and callers, as separate processes on loopback.
-#include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <future>
-#include <iterator>
+#include <map>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
 #include "harness/Cluster.h"
 #include "platform/StoreClient.h"
-#include "sycamorepost/internal/Text.h"
 
 namespace sycamorepost {
 namespace {
@@ -64,10 +61,6 @@
 public:
   Platform()
   {
-    const char* bin = std::getenv("SYCAMOREPOST_BIN");
-    this->binaries = bin ? bin : "build/bin";
-    const char* shift = std::getenv("SYCAMOREPOST_NETWORK_SHIFT");
-    this->network += shift ? internal::ParseNumber<int>(shift).value_or(0) : 0;
     this->directory = "run/platform-" + std::to_string(this->network);
     std::filesystem::remove_all(this->directory);
     std::filesystem::create_directories(this->directory);
@@ -189,8 +182,8 @@
                                           aEngine ? "--engine" : "--noengine" }));
   }
 
-  int network = 60;
-  std::string binaries;
+  int network = harness::ShiftNetwork(60);
+  std::string binaries = harness::BinaryDirectory();
   std::string directory;
 };
 
--- a/test/harness/Cluster.cpp
+++ b/test/harness/Cluster.cpp
@@ -77,6 +77,20 @@
   return true;
 }
 
+std::string
+BinaryDirectory()
+{
+  const char* directory = std::getenv("SYCAMOREPOST_BIN");
+  return directory ? directory : "build/bin";
+}
+
+int
+ShiftNetwork(int aNetwork)
+{
+  const char* shift = std::getenv("SYCAMOREPOST_NETWORK_SHIFT");
+  return aNetwork + (shift ? internal::ParseNumber<int>(shift).value_or(0) : 0);
+}
+
 std::string
 KeyOf(const std::string& aAccount)
 {
@@ -125,12 +139,9 @@
   : plan(std::move(aPlan))
 {
   if (this->plan.binaries.empty()) {
-    const char* directory = std::getenv("SYCAMOREPOST_BIN");
-    this->plan.binaries = directory ? directory : "build/bin";
+    this->plan.binaries = BinaryDirectory();
   }
-  // Test programs that run side by side use networks of their own.
-  const char* shift = std::getenv("SYCAMOREPOST_NETWORK_SHIFT");
-  this->plan.network += shift ? internal::ParseNumber<int>(shift).value_or(0) : 0;
+  this->plan.network = ShiftNetwork(this->plan.network);
   if (this->plan.directory.empty()) {
     this->plan.directory = "run/cluster-" + std::to_string(this->plan.network);
   }
--- a/test/harness/Cluster.h
+++ b/test/harness/Cluster.h
@@ -147,6 +147,15 @@
 bool
 Await(std::chrono::milliseconds aBound, const std::function<bool()>& aCondition);
 
+// Returns where the programs are: SYCAMOREPOST_BIN, or build/bin.
+std::string
+BinaryDirectory();
+
+// Returns a network moved by SYCAMOREPOST_NETWORK_SHIFT, so that test programs can run side by
+// side.
+int
+ShiftNetwork(int aNetwork);
+
 // The rules that most tests start from: one model, one bookings service, three accounts.
 std::string
 DefaultRules();
--- a/test/standins/StandIn.h
+++ b/test/standins/StandIn.h
@@ -12,20 +12,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include "net/Clock.h"
 #include "net/Http.h"
 
 namespace sycamorepost::standin {
 
 inline constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-// Sleeps without blocking the thread.
-inline asio::awaitable<void>
-Sleep(asio::io_context& aContext, Duration aTime)
-{
-  asio::steady_timer timer(aContext, aTime);
-  co_await timer.async_wait(kTuple);
-}
-
 // Sends a JSON answer.
 inline asio::awaitable<bool>
 RespondJson(HttpExchange& aExchange, int aStatus, nlohmann::json aJson)
--- a/test/standins/engine.cpp
+++ b/test/standins/engine.cpp
@@ -15,7 +15,6 @@
 #include "EngineText.h"
 #include "StandIn.h"
 #include "adapters/CompletionApi.h"
-#include "net/Clock.h"
 #include "sycamorepost/internal/Text.h"
 
 DEFINE_string(listen, "", "The ip:port to listen on.");
--- a/test/standins/log.cpp
+++ b/test/standins/log.cpp
@@ -8,7 +8,6 @@
 #include <gflags/gflags.h>
 
 #include "StandIn.h"
-#include "net/Clock.h"
 #include "sycamorepost/TokenBucket.h"
 #include "sycamorepost/internal/Text.h"
 
--- a/test/standins/registered.cpp
+++ b/test/standins/registered.cpp
@@ -8,7 +8,6 @@
 #include <gflags/gflags.h>
 
 #include "StandIn.h"
-#include "net/Clock.h"
 #include "platform/StoreClient.h"
 #include "sycamorepost/internal/Text.h"
 
@@ -85,7 +84,7 @@
                                   { "born", this->startedAtUnixMs } };
       const platform::StoreRecord record{ FLAGS_name, entry.dump() };
       co_await this->store.Append("keyed.servers", record); // The next heartbeat is the retry.
-      co_await sycamorepost::Sleep(this->context, kHeartbeat);
+      co_await Sleep(this->context, kHeartbeat);
     }
   }
 
@@ -189,7 +188,7 @@
         aExchange.Drop();
         co_return;
       }
-      co_await sycamorepost::Sleep(this->context, std::chrono::milliseconds(FLAGS_event_ms));
+      co_await Sleep(this->context, std::chrono::milliseconds(FLAGS_event_ms));
       std::string event = "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
       open = co_await aExchange.Write(std::move(event));
     }
