--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -244,7 +244,7 @@
                      MakeBody(this->configuration));
     }
   } else if (std::holds_alternative<RulesResponse>(aEnvelope.message)) {
-    this->follower.AcceptConfiguration(*aEnvelope.body);
+    this->follower.AcceptConfiguration(*aEnvelope.body, aEnvelope.from);
   }
 }
 
