--- a/test/ForwardPathTest.cpp
+++ b/test/ForwardPathTest.cpp
@@ -2,195 +2,25 @@
 // that register themselves in the store stand-in, run as separate processes on loopback. The tests
 // are the callers.
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <future>
-#include <map>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
-#include "harness/Cluster.h"
-#include "platform/StoreClient.h"
+#include "harness/PlatformDeployment.h"
 
 namespace sycamorepost {
 namespace {
 
 using harness::HeaderField;
-using harness::Process;
+using harness::kAwaitTimeout;
+using harness::kKvCapacityTokens;
+using harness::kStreamEvents;
+using harness::MakePlatformConfiguration;
+using harness::MakePlatformRoute;
+using harness::PlatformDeployment;
 using harness::WaitUntil;
 using nlohmann::json;
-using std::chrono::milliseconds;
-
-constexpr milliseconds kAwaitTimeout{ 15'000 };
-constexpr std::uint64_t kKvCapacityTokens = 300'000;
-constexpr std::uint64_t kStreamEvents = 12;
-constexpr const char* kHost = "quiz.example";
-
-json
-MakeRoute(const char* aName,
-          const char* aPath,
-          const char* aKind,
-          const char* aService,
-          int aObjectiveMs = 3'000)
-{
-  return { { "Name", aName },        { "Host", kHost },       { "PathPrefix", aPath },
-           { "Kind", aKind },        { "Service", aService }, { "TimeoutMs", 10'000 },
-           { "MaxAttempts", 3 },     { "Resumable", true },   { "TargetLatencyMs", aObjectiveMs },
-           { "TargetGapMs", 1'000 }, { "Priority", 1 } };
-}
-
-json
-MakeConfiguration(std::uint64_t aVersion)
-{
-  const json engine{ { "step_ms", 0.85 },      { "read_per_s", 177'000.0 },
-                     { "pairs_per_m", 0.184 }, { "Stride", 51 },
-                     { "Slots", 16 },          { "KvCapacityTokens", kKvCapacityTokens } };
-  return { { "Version", aVersion },
-           { "Routes",
-             { MakeRoute("draft", "/draft/", "streaming", "quizmind"),
-               MakeRoute("archive", "/archive/", "streaming", "quizmind", 20'000),
-               MakeRoute("book", "/book/", "non_idempotent", "ledger") } },
-           { "Services",
-             { { { "Name", "quizmind" }, { "Engine", engine } }, { { "Name", "ledger" } } } },
-           { "Tenants", { { { "Name", "derwent" }, { "ApiKeys", { "key-1" } } } } } };
-}
-
-// A stand-in of the users' platform: a store, three engines, a plain service and two entries.
-class PlatformDeployment
-{
-public:
-  PlatformDeployment()
-  {
-    this->directory = "run/platform-" + std::to_string(this->network);
-    std::filesystem::remove_all(this->directory);
-    std::filesystem::create_directories(this->directory);
-    this->store = this->Start("store", "standin-store", { "--listen=" + this->StoreAddress() });
-    this->Publish("keyed.op", "config", MakeConfiguration(1).dump());
-    for (int i = 1; i <= 3; ++i) {
-      this->AddTarget("engine-" + std::to_string(i), "quizmind", i, true);
-    }
-    this->AddTarget("ledger-1", "ledger", 4, false);
-    for (int i = 1; i <= 2; ++i) {
-      this->entries.push_back(this->StartEntry(i));
-    }
-    for (int i = 1; i <= 2; ++i) {
-      CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
-        const json dump = harness::FetchDump(this->EntryIp(i) + ":7001");
-        return dump.is_object() && dump.contains("targets") && dump["targets"].size() == 4;
-      }));
-    }
-  }
-
-  std::string StoreAddress() const { return this->Ip(1, 1) + ":7300"; }
-  std::string EntryIp(int aIndex) const { return this->Ip(2, aIndex); }
-  std::string TargetAddress(int aIndex) const { return this->Ip(3, aIndex) + ":7100"; }
-
-  Process StartEntry(int aIndex)
-  {
-    const std::string name = "entry-" + std::to_string(aIndex);
-    const std::string ip = this->EntryIp(aIndex);
-    const std::string path = this->directory + "/" + name + ".toml";
-    std::ofstream(path) << "[forward]\nname = \"" + name + "\"\ndomain = \"hobart\"\n" +
-                             "http_address = \"" + ip + ":7080\"\nadmin_address = \"" + ip +
-                             ":7001\"\npeer_address = \"" + ip + ":7000\"\nstore_address = \"" +
-                             this->StoreAddress() +
-                             "\"\nretry_slack = 100\ndrain_delay = \"100ms\"\n";
-    return this->Start(name, "sycamorepost-entry", { "--config", path });
-  }
-
-  // Appends a record to the store, as the operator does.
-  void Publish(const std::string& aTopic, const std::string& aKey, const std::string& aValue)
-  {
-    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
-      const HttpReply reply = harness::SendHttpRequest(this->StoreAddress(),
-                                                       "POST",
-                                                       "/log-append?Topic=" + aTopic + "&part=0",
-                                                       {},
-                                                       platform::EncodeRecord({ aKey, aValue }));
-      return reply.Ok();
-    }));
-  }
-
-  HttpReply SendRequest(int aEntry,
-                        const std::string& aPath,
-                        const std::string& aId,
-                        std::uint64_t aPromptTokens)
-  {
-    std::vector<Field> fields{ { "Host", kHost },
-                               { "Authorization", "Bearer key-1" },
-                               { "X-Sycamorepost-Request-Id", aId } };
-    if (aPromptTokens > 0) {
-      fields.emplace_back("X-Sycamorepost-Token-Counts", std::to_string(aPromptTokens) + ",200");
-    }
-    return harness::SendHttpRequest(this->EntryIp(aEntry) + ":7080", "POST", aPath, fields, "body");
-  }
-
-  // Returns how often each request ran on any target, by request id.
-  std::map<std::string, int> RunCounts() const
-  {
-    std::map<std::string, int> runs;
-    std::ifstream file(this->directory + "/effects");
-    for (std::string id; std::getline(file, id);) {
-      ++runs[id];
-    }
-    return runs;
-  }
-
-  std::uint64_t ReservedTokens() const
-  {
-    std::uint64_t tokens = 0;
-    for (int i = 1; i <= 3; ++i) {
-      const HttpReply reply = harness::SendHttpRequest(this->TargetAddress(i), "GET", "/report");
-      tokens += json::parse(reply.body).at("KvUsed").get<std::uint64_t>();
-    }
-    return tokens;
-  }
-
-  void SetFaults(const std::string& aAddress, const json& aFaults)
-  {
-    CPPUNIT_ASSERT(harness::SendHttpRequest(aAddress, "POST", "/faults", {}, aFaults.dump()).Ok());
-  }
-
-  Process store;
-  std::vector<Process> targets;
-  std::vector<Process> entries;
-
-private:
-  std::string Ip(int aGroup, int aIndex) const
-  {
-    return "127." + std::to_string(this->network) + "." + std::to_string(aGroup) + "." +
-           std::to_string(aIndex);
-  }
-
-  Process Start(const std::string& aName,
-                const std::string& aProgram,
-                const std::vector<std::string>& aArguments)
-  {
-    std::vector<std::string> command{ this->binaryDirectory + "/" + aProgram };
-    command.insert(command.end(), aArguments.begin(), aArguments.end());
-    return Process::Start(command, this->directory + "/" + aName + ".log");
-  }
-
-  void AddTarget(const std::string& aName, const std::string& aService, int aIndex, bool aIsEngine)
-  {
-    this->targets.push_back(this->Start(aName,
-                                        "standin-registered",
-                                        { "--listen=" + this->TargetAddress(aIndex),
-                                          "--store=" + this->StoreAddress(),
-                                          "--name=" + aName,
-                                          "--service=" + aService,
-                                          "--domain=hobart",
-                                          "--effects=" + this->directory + "/effects",
-                                          "--memory=" + std::to_string(kKvCapacityTokens),
-                                          "--events=" + std::to_string(kStreamEvents),
-                                          aIsEngine ? "--engine" : "--noengine" }));
-  }
-
-  int network = harness::ShiftNetwork(60);
-  std::string binaryDirectory = harness::BinaryDirectory();
-  std::string directory;
-};
 
 std::string
 ExpectedStream()
@@ -275,8 +105,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.RunCounts().count("r2"));
 
     deployment.SetFaults(deployment.StoreAddress(), { { "outage", false } });
-    json updated = MakeConfiguration(2);
-    updated["Routes"].push_back(MakeRoute("look", "/look/", "idempotent", "ledger"));
+    json updated = MakePlatformConfiguration(2);
+    updated["Routes"].push_back(MakePlatformRoute("look", "/look/", "idempotent", "ledger"));
     deployment.Publish("keyed.op", "config", updated.dump());
     for (int entry = 1; entry <= 2; ++entry) {
       CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
--- /dev/null
+++ b/test/harness/PlatformDeployment.cpp
@@ -0,0 +1,179 @@
+#include "PlatformDeployment.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <cppunit/TestAssert.h>
+
+#include "platform/StoreClient.h"
+
+namespace sycamorepost::harness {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* kHost = "quiz.example";
+
+} // namespace
+
+json
+MakePlatformRoute(const char* aName,
+                  const char* aPath,
+                  const char* aKind,
+                  const char* aService,
+                  int aObjectiveMs)
+{
+  return { { "Name", aName },        { "Host", kHost },       { "PathPrefix", aPath },
+           { "Kind", aKind },        { "Service", aService }, { "TimeoutMs", 10'000 },
+           { "MaxAttempts", 3 },     { "Resumable", true },   { "TargetLatencyMs", aObjectiveMs },
+           { "TargetGapMs", 1'000 }, { "Priority", 1 } };
+}
+
+json
+MakePlatformConfiguration(std::uint64_t aVersion)
+{
+  const json engine{ { "step_ms", 0.85 },      { "read_per_s", 177'000.0 },
+                     { "pairs_per_m", 0.184 }, { "Stride", 51 },
+                     { "Slots", 16 },          { "KvCapacityTokens", kKvCapacityTokens } };
+  return { { "Version", aVersion },
+           { "Routes",
+             { MakePlatformRoute("draft", "/draft/", "streaming", "quizmind"),
+               MakePlatformRoute("archive", "/archive/", "streaming", "quizmind", 20'000),
+               MakePlatformRoute("book", "/book/", "non_idempotent", "ledger") } },
+           { "Services",
+             { { { "Name", "quizmind" }, { "Engine", engine } }, { { "Name", "ledger" } } } },
+           { "Tenants", { { { "Name", "derwent" }, { "ApiKeys", { "key-1" } } } } } };
+}
+
+PlatformDeployment::PlatformDeployment()
+{
+  this->directory = "run/platform-" + std::to_string(this->network);
+  std::filesystem::remove_all(this->directory);
+  std::filesystem::create_directories(this->directory);
+  this->store = this->Start("store", "standin-store", { "--listen=" + this->StoreAddress() });
+  this->Publish("keyed.op", "config", MakePlatformConfiguration(1).dump());
+  for (int i = 1; i <= 3; ++i) {
+    this->AddTarget("engine-" + std::to_string(i), "quizmind", i, true);
+  }
+  this->AddTarget("ledger-1", "ledger", 4, false);
+  for (int i = 1; i <= 2; ++i) {
+    this->entries.push_back(this->StartEntry(i));
+  }
+  for (int i = 1; i <= 2; ++i) {
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      const json dump = FetchDump(this->EntryIp(i) + ":7001");
+      return dump.is_object() && dump.contains("targets") && dump["targets"].size() == 4;
+    }));
+  }
+}
+
+Process
+PlatformDeployment::StartEntry(int aIndex)
+{
+  const std::string name = "entry-" + std::to_string(aIndex);
+  const std::string ip = this->EntryIp(aIndex);
+  const std::string path = this->directory + "/" + name + ".toml";
+  std::ofstream(path) << "[forward]\nname = \"" + name + "\"\ndomain = \"hobart\"\n" +
+                           "http_address = \"" + ip + ":7080\"\nadmin_address = \"" + ip +
+                           ":7001\"\npeer_address = \"" + ip + ":7000\"\nstore_address = \"" +
+                           this->StoreAddress() +
+                           "\"\nretry_slack = 100\ndrain_delay = \"100ms\"\n";
+  return this->Start(name, "sycamorepost-entry", { "--config", path });
+}
+
+void
+PlatformDeployment::Publish(const std::string& aTopic,
+                            const std::string& aKey,
+                            const std::string& aValue)
+{
+  CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+    const HttpReply reply = SendHttpRequest(this->StoreAddress(),
+                                            "POST",
+                                            "/log-append?Topic=" + aTopic + "&part=0",
+                                            {},
+                                            platform::EncodeRecord({ aKey, aValue }));
+    return reply.Ok();
+  }));
+}
+
+HttpReply
+PlatformDeployment::SendRequest(int aEntry,
+                                const std::string& aPath,
+                                const std::string& aId,
+                                std::uint64_t aPromptTokens)
+{
+  std::vector<Field> fields{ { "Host", kHost },
+                             { "Authorization", "Bearer key-1" },
+                             { "X-Sycamorepost-Request-Id", aId } };
+  if (aPromptTokens > 0) {
+    fields.emplace_back("X-Sycamorepost-Token-Counts", std::to_string(aPromptTokens) + ",200");
+  }
+  return SendHttpRequest(this->EntryIp(aEntry) + ":7080", "POST", aPath, fields, "body");
+}
+
+std::map<std::string, int>
+PlatformDeployment::RunCounts() const
+{
+  std::map<std::string, int> runs;
+  std::ifstream file(this->directory + "/effects");
+  for (std::string id; std::getline(file, id);) {
+    ++runs[id];
+  }
+  return runs;
+}
+
+std::uint64_t
+PlatformDeployment::ReservedTokens() const
+{
+  std::uint64_t tokens = 0;
+  for (int i = 1; i <= 3; ++i) {
+    const HttpReply reply = SendHttpRequest(this->TargetAddress(i), "GET", "/report");
+    tokens += json::parse(reply.body).at("KvUsed").get<std::uint64_t>();
+  }
+  return tokens;
+}
+
+void
+PlatformDeployment::SetFaults(const std::string& aAddress, const json& aFaults)
+{
+  CPPUNIT_ASSERT(SendHttpRequest(aAddress, "POST", "/faults", {}, aFaults.dump()).Ok());
+}
+
+std::string
+PlatformDeployment::Ip(int aGroup, int aIndex) const
+{
+  return "127." + std::to_string(this->network) + "." + std::to_string(aGroup) + "." +
+         std::to_string(aIndex);
+}
+
+Process
+PlatformDeployment::Start(const std::string& aName,
+                          const std::string& aProgram,
+                          const std::vector<std::string>& aArguments)
+{
+  std::vector<std::string> command{ this->binaryDirectory + "/" + aProgram };
+  command.insert(command.end(), aArguments.begin(), aArguments.end());
+  return Process::Start(command, this->directory + "/" + aName + ".log");
+}
+
+void
+PlatformDeployment::AddTarget(const std::string& aName,
+                              const std::string& aService,
+                              int aIndex,
+                              bool aIsEngine)
+{
+  this->targets.push_back(this->Start(aName,
+                                      "standin-registered",
+                                      { "--listen=" + this->TargetAddress(aIndex),
+                                        "--store=" + this->StoreAddress(),
+                                        "--name=" + aName,
+                                        "--service=" + aService,
+                                        "--domain=hobart",
+                                        "--effects=" + this->directory + "/effects",
+                                        "--memory=" + std::to_string(kKvCapacityTokens),
+                                        "--events=" + std::to_string(kStreamEvents),
+                                        aIsEngine ? "--engine" : "--noengine" }));
+}
+
+} // namespace sycamorepost::harness
--- /dev/null
+++ b/test/harness/PlatformDeployment.h
@@ -0,0 +1,87 @@
+// Declares a small deployment of the users' platform on loopback: a store stand-in, targets that
+// register themselves there, and forwarding entries, each as a separate process.
+#ifndef SYCAMOREPOST_TEST_HARNESS_PLATFORM_DEPLOYMENT_H_
+#define SYCAMOREPOST_TEST_HARNESS_PLATFORM_DEPLOYMENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Cluster.h"
+#include "Process.h"
+
+namespace sycamorepost::harness {
+
+// How long a condition is awaited whose delay is not what a test is about.
+inline constexpr std::chrono::milliseconds kAwaitTimeout{ 15'000 };
+
+// The KV cache of an engine stand-in, and the events of each of its streams.
+inline constexpr std::uint64_t kKvCapacityTokens = 300'000;
+inline constexpr std::uint64_t kStreamEvents = 12;
+
+// Returns a route of the operator's configuration. aKind and aService are the platform's names.
+nlohmann::json
+MakePlatformRoute(const char* aName,
+                  const char* aPath,
+                  const char* aKind,
+                  const char* aService,
+                  int aObjectiveMs = 3'000);
+
+// Returns the operator's configuration with two routes to engines and one to a plain service.
+nlohmann::json
+MakePlatformConfiguration(std::uint64_t aVersion);
+
+// A store, three engines, a plain service and two entries. Returns from its constructor when both
+// entries know all targets.
+class PlatformDeployment
+{
+public:
+  PlatformDeployment();
+
+  std::string StoreAddress() const { return this->Ip(1, 1) + ":7300"; }
+  std::string EntryIp(int aIndex) const { return this->Ip(2, aIndex); }
+  std::string TargetAddress(int aIndex) const { return this->Ip(3, aIndex) + ":7100"; }
+
+  // Starts an entry, also again after its exit.
+  Process StartEntry(int aIndex);
+
+  // Appends a record to the store, as the operator does.
+  void Publish(const std::string& aTopic, const std::string& aKey, const std::string& aValue);
+
+  HttpReply SendRequest(int aEntry,
+                        const std::string& aPath,
+                        const std::string& aId,
+                        std::uint64_t aPromptTokens);
+
+  // Returns how often each request ran on any target, by request id.
+  std::map<std::string, int> RunCounts() const;
+
+  // Returns the tokens that are reserved or used on all engines.
+  std::uint64_t ReservedTokens() const;
+
+  // Replaces the fault injection settings of a stand-in.
+  void SetFaults(const std::string& aAddress, const nlohmann::json& aFaults);
+
+  Process store;
+  std::vector<Process> targets;
+  std::vector<Process> entries;
+
+private:
+  std::string Ip(int aGroup, int aIndex) const;
+  Process Start(const std::string& aName,
+                const std::string& aProgram,
+                const std::vector<std::string>& aArguments);
+  void AddTarget(const std::string& aName, const std::string& aService, int aIndex, bool aIsEngine);
+
+  int network = ShiftNetwork(60);
+  std::string binaryDirectory = BinaryDirectory();
+  std::string directory;
+};
+
+} // namespace sycamorepost::harness
+
+#endif // SYCAMOREPOST_TEST_HARNESS_PLATFORM_DEPLOYMENT_H_
