Let the store stand-in hang reads, limit the size of a page and count served bytes

Tests of how a configuration reaches an entry need reads that the store receives and never responds to, and pages with the size limit of the platform's protocol.

--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -134,6 +134,20 @@
   return tokens;
 }
 
+std::uint64_t
+PlatformDeployment::HungReads() const
+{
+  const HttpReply reply = SendHttpRequest(this->StoreAddress(), "GET", "/counters");
+  return json::parse(reply.body).at("hung_reads").get<std::uint64_t>();
+}
+
+std::uint64_t
+PlatformDeployment::BytesServed(const std::string& aTopic) const
+{
+  const HttpReply reply = SendHttpRequest(this->StoreAddress(), "GET", "/counters");
+  return json::parse(reply.body).at("bytes_served").at(aTopic).get<std::uint64_t>();
+}
+
 void
 PlatformDeployment::SetFaults(const std::string& aAddress, const json& aFaults)
 {
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -44,6 +44,7 @@
 
   std::string StoreAddress() const { return this->Ip(1, 1) + ":7300"; }
   std::string EntryIp(int aIndex) const { return this->Ip(2, aIndex); }
+  std::string PeerAddress(int aIndex) const { return this->EntryIp(aIndex) + ":7000"; }
   std::string TargetAddress(int aIndex) const { return this->Ip(3, aIndex) + ":7100"; }
 
   // Starts an entry, also again after its exit.
@@ -63,6 +64,12 @@
   // Returns the tokens that are reserved or used on all engines.
   std::uint64_t ReservedTokens() const;
 
+  // Returns how many reads of the store hang, as it received them and never responds.
+  std::uint64_t HungReads() const;
+
+  // Returns the bytes of all responses to reads of a topic of the store.
+  std::uint64_t BytesServed(const std::string& aTopic) const;
+
   // Replaces the fault injection settings of a stand-in.
   void SetFaults(const std::string& aAddress, const nlohmann::json& aFaults);
 
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's store: topics of keyed records that are read by offset or as the
-// newest record of each key. It injects outages and responses that are lost after the append took
-// effect.
+// newest record of each key. It injects outages, reads that hang, and responses that are lost after
+// the append took effect.
 #include <map>
 #include <memory>
 #include <random>
@@ -57,6 +57,7 @@
 
   std::vector<std::string> records;                   // By offset, without the length prefix.
   std::map<std::string, std::uint64_t> newestOffsets; // Offset by key.
+  std::uint64_t bytesServed = 0;                      // Of all responses to reads.
   asio::steady_timer changed;
 };
 
@@ -76,9 +77,15 @@
       const nlohmann::json json = ParseBody(aRequest);
       this->outage = json.value("outage", false);
       this->lostResponseShare = json.value("lose_answers", 0.0);
+      this->hungTopic = json.value("hang_reads_of", "");
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
+    } else if (path == "/counters") {
+      co_await RespondJson(aExchange, 200, this->CountersJson());
     } else if (this->outage) {
       co_await RespondError(aExchange, 503, "outage");
+    } else if (!this->hungTopic.empty() && aRequest.Query("Topic") == this->hungTopic &&
+               path != "/log-append") {
+      co_await this->Hang();
     } else if (path == "/log-append") {
       co_await this->Append(this->FindOrAddTopic(aRequest), aRequest, aExchange);
     } else if (path == "/log-read") {
@@ -100,6 +107,23 @@
     return *topic;
   }
 
+  nlohmann::json CountersJson() const
+  {
+    nlohmann::json bytesServed = nlohmann::json::object();
+    for (const auto& [name, topic] : this->topics) {
+      bytesServed[name] = topic->bytesServed;
+    }
+    return { { "hung_reads", this->hungReads }, { "bytes_served", std::move(bytesServed) } };
+  }
+
+  // Never responds, and keeps the connection open.
+  asio::awaitable<void> Hang()
+  {
+    ++this->hungReads;
+    asio::steady_timer timer(this->context, std::chrono::steady_clock::time_point::max());
+    co_await timer.async_wait(kTuple);
+  }
+
   asio::awaitable<void> Append(Topic& aTopic, const HttpRequest& aRequest, HttpExchange& aExchange)
   {
     static constexpr std::size_t kLengthBytes = 4;
@@ -135,10 +159,17 @@
       }
       co_await aTopic.changed.async_wait(kTuple);
     }
+    // The first record is returned whatever its size.
+    const std::size_t maxBytes =
+      1024 * internal::ParseNumber<std::size_t>(aRequest.Query("MaxKb")).value_or(1024);
     std::string page = EncodeBigEndian(aTopic.records.size(), 8) + EncodeBigEndian(0, 8);
     for (std::size_t i = fromOffset; i < aTopic.records.size(); ++i) {
+      if (i > fromOffset && page.size() + aTopic.records[i].size() > maxBytes) {
+        break;
+      }
       page += EncodeBigEndian(aTopic.records[i].size(), 4) + aTopic.records[i];
     }
+    aTopic.bytesServed += page.size();
     co_await aExchange.Respond(200, {}, MakeBody(std::move(page)));
   }
 
@@ -152,6 +183,7 @@
     const nlohmann::json page{ { "Entries", std::move(entries) },
                                { "MorePages", false },
                                { "End", aTopic.records.size() } };
+    aTopic.bytesServed += page.dump().size();
     co_await RespondJson(aExchange, 200, page);
   }
 
@@ -159,6 +191,8 @@
   std::map<std::string, std::unique_ptr<Topic>> topics;
   std::mt19937_64 random;
   bool outage = false;
+  std::string hungTopic; // Reads of this topic hang; empty when none do.
+  std::uint64_t hungReads = 0;
   double lostResponseShare = 0; // Share of appends that take effect but whose response is lost.
 };
 
