Request the configuration from one peer at a time

Cause: each load report of a peer that had a newer version made an entry request the whole configuration from it. Nineteen peers report every 25 ms to 1 s, and nothing remembered that a request was under way. One version was transferred up to hundreds of times, and each copy was decoded before its version was compared. The copies kept a small entry's processor and link busy for seconds, so it handled neither the newest copy nor its own read of the store.

Evidence: the entry that handled the late request logged 164 and 176 unneeded copies before its last two versions, and did nothing else between 11.97 and 18.0 s.

ConfigurationFetcher now decides: the store gets a quarter of the change bound to deliver a version that a peer reports; then one peer is requested, and another only after a response without effect or half of the bound without one. While the store is known to be unreachable, requests start within an eighth of the bound, spread over the peers that have the version. A copy of a known version is dropped before it is decoded. The bound is the new setting change_bound.

ConfigurationPathTest::ReportsOfOneVersionLeadToOneRequest failed before: 40 reports led to 40 requests.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -108,7 +108,22 @@
   std::string peer;
   std::uint64_t incarnation = 0; // Changes at each start of the peer.
   std::vector<TargetLoadReport> loads;
-  bool isSnapshot = false; // Targets that are not listed are idle.
+  bool isSnapshot = false;                // Targets that are not listed are idle.
+  std::uint64_t configurationVersion = 0; // The version in force there.
+};
+
+// A peer has responded to a RequestConfiguration. RoutesChanged comes first if that brought a newer
+// version into force.
+struct PeerConfigurationReceived
+{
+  std::string peer;
+};
+
+// A read of the configuration from the store has ended. RoutesChanged follows if it brought a newer
+// version into force.
+struct ConfigurationReadEnd
+{
+  bool reached = false; // The store responded.
 };
 
 // A peer reports an aborted attempt of a request.
@@ -126,6 +141,8 @@
                                   RoutesChanged,
                                   TargetsChanged,
                                   PeerLoadReport,
+                                  PeerConfigurationReceived,
+                                  ConfigurationReadEnd,
                                   PeerAbortReport,
                                   Wake>;
 
@@ -220,6 +237,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// Requests the configuration from a peer, which responds if it has a newer version.
+struct RequestConfiguration
+{
+  std::string peer;
+  std::uint64_t version = 0; // The version in force here.
+};
+
 // A decision for the log, with its fields as name and value.
 struct LogDecision
 {
@@ -239,6 +263,7 @@
                                    SendReservationCommand,
                                    BroadcastLoad,
                                    BroadcastAbort,
+                                   RequestConfiguration,
                                    CountEvent,
                                    LogDecision>;
 
@@ -255,6 +280,8 @@
   double retrySlack = 20;
   // Shorter than the time for which engines keep an unused reservation.
   Duration reservationLease = std::chrono::seconds(3);
+  // The time within which a new version of the configuration must be in force.
+  Duration changeBound = std::chrono::seconds(2);
 };
 
 // Decides for all requests of one entry. Not thread-safe.
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,11 +1,13 @@
 // The state of the forwarding reducer. Its member functions are defined in ForwardAdmission.cpp,
-// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardReservations.cpp and ForwardReducer.cpp.
+// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardReservations.cpp, ForwardConfiguration.cpp and
+// ForwardReducer.cpp.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
 #include <random>
 #include <set>
 
+#include "sycamorepost/forward/ConfigurationFetcher.h"
 #include "sycamorepost/forward/EventStream.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 #include "sycamorepost/forward/Placement.h"
@@ -105,11 +107,15 @@
   void OnEvent(const RoutesChanged& aChanged);
   void OnEvent(const TargetsChanged& aChanged);
   void OnEvent(const PeerLoadReport& aReport);
+  void OnEvent(const PeerConfigurationReceived& aReceived);
+  void OnEvent(const ConfigurationReadEnd& aEnd);
   void OnEvent(const PeerAbortReport& aReport);
   void OnEvent(const Wake& aWake);
 
   // Schedules a broadcast when the last event changed the load of this entry.
   void ScheduleBroadcast();
+  // Requests the configuration from a peer when that is due.
+  void RequestDueConfiguration();
   std::optional<Instant> NextWake() const;
   bool Ready() const;
   nlohmann::json Dump(Instant aNow) const;
@@ -179,6 +185,7 @@
   std::shared_ptr<const RouteTable> table; // Null until the first routes are known.
   std::map<std::string, RegisteredTarget> targets;
   LoadTracker loadTracker;
+  ConfigurationFetcher fetcher;
   struct KnownPeer
   {
     std::uint64_t incarnation = 0;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -28,6 +28,7 @@
 
 ForwardReducer::Impl::Impl(ForwardConfig aConfig)
   : config(std::move(aConfig))
+  , fetcher(config.changeBound, config.seed)
   , random(config.seed)
 {
 }
@@ -44,16 +45,6 @@
   this->EndRequest(found->second);
 }
 
-void
-ForwardReducer::Impl::OnEvent(const RoutesChanged& aChanged)
-{
-  // Versions only increase within one process.
-  if (this->table && aChanged.table->version <= this->table->version) {
-    return;
-  }
-  this->table = aChanged.table;
-}
-
 void
 ForwardReducer::Impl::OnEvent(const TargetsChanged& aChanged)
 {
@@ -83,6 +74,7 @@
     this->loadTracker.RemovePeer(aReport.peer);
   }
   this->loadTracker.ApplyReport(aReport.peer, aReport.loads, this->now);
+  this->fetcher.RecordPeerVersion(aReport.peer, aReport.configurationVersion, this->now);
 }
 
 void
@@ -291,7 +283,7 @@
 std::optional<Instant>
 ForwardReducer::Impl::NextWake() const
 {
-  Instant next = std::min(this->housekeepingAt, this->broadcastAt);
+  Instant next = std::min({ this->housekeepingAt, this->broadcastAt, this->fetcher.NextDue() });
   if (!this->timers.empty()) {
     next = std::min(next, this->timers.begin()->first);
   }
@@ -355,6 +347,7 @@
   this->impl->effects.clear();
   std::visit([this](const auto& aKnown) { this->impl->OnEvent(aKnown); }, aEvent);
   this->impl->ScheduleBroadcast();
+  this->impl->RequestDueConfiguration();
   return std::exchange(this->impl->effects, {});
 }
 
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -58,7 +58,8 @@
                            .seed = this->incarnation,
                            .retryRatio = this->settings.retryRatio,
                            .retrySlack = this->settings.retrySlack,
-                           .reservationLease = this->settings.reservationLease })
+                           .reservationLease = this->settings.reservationLease,
+                           .changeBound = this->settings.changeBound })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -78,7 +79,8 @@
           LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
           this->Step(TargetsChanged{ aTargets });
         },
-        [this](const std::map<std::string, std::string>& aEntries) { this->OnEntries(aEntries); } },
+        [this](const std::map<std::string, std::string>& aEntries) { this->OnEntries(aEntries); },
+        [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); } },
       this->incarnation)
   , server(this->context,
            MakeLimits(this->settings, CallerLimits{}),
@@ -210,6 +212,14 @@
   this->SendToPeers(AbortNotice{ aBroadcast.fingerprint });
 }
 
+void
+ForwardDaemon::Execute(RequestConfiguration& aRequest)
+{
+  LOG(INFO) << "[forward] requested the configuration from " << aRequest.peer
+            << ", which has a newer version than " << aRequest.version;
+  this->bus.Send(aRequest.peer, 0, RulesRequest{ aRequest.version }, nullptr);
+}
+
 void
 ForwardDaemon::Execute(CountEvent& aCount)
 {
@@ -228,24 +238,34 @@
 ForwardDaemon::OnMessage(const Envelope& aEnvelope)
 {
   if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
-    this->Step(
-      PeerLoadReport{ aEnvelope.from, aEnvelope.fromIncarnation, load->reports, load->isSnapshot });
-    if (load->version > this->follower.ConfigurationVersion()) {
-      this->bus.Send(
-        aEnvelope.from, 0, RulesRequest{ this->follower.ConfigurationVersion() }, nullptr);
-    }
+    this->Step(PeerLoadReport{
+      aEnvelope.from, aEnvelope.fromIncarnation, load->reports, load->isSnapshot, load->version });
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
     this->Step(PeerAbortReport{ notice->fingerprint });
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
-    if (this->follower.ConfigurationVersion() > request->version) {
-      this->bus.Send(aEnvelope.from,
-                     0,
-                     RulesResponse{ this->follower.ConfigurationVersion(), 0 },
-                     MakeBody(this->configuration));
-    }
-  } else if (std::holds_alternative<RulesResponse>(aEnvelope.message)) {
+    this->SendConfiguration(aEnvelope.from, request->version);
+  } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
+    this->OnConfiguration(aEnvelope, response->version);
+  }
+}
+
+void
+ForwardDaemon::SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion)
+{
+  const std::uint64_t version = this->follower.ConfigurationVersion();
+  if (version > aKnownVersion) {
+    this->bus.Send(aPeer, 0, RulesResponse{ version, 0 }, MakeBody(this->configuration));
+  }
+}
+
+void
+ForwardDaemon::OnConfiguration(const Envelope& aEnvelope, std::uint64_t aVersion)
+{
+  // Decoding a large configuration takes long, so a copy of a known version is dropped before.
+  if (aVersion > this->follower.ConfigurationVersion()) {
     this->follower.AcceptConfiguration(*aEnvelope.body, aEnvelope.from);
   }
+  this->Step(PeerConfigurationReceived{ aEnvelope.from });
 }
 
 void
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -63,6 +63,7 @@
   void Execute(SendReservationCommand& aCommand);
   void Execute(BroadcastLoad& aBroadcast);
   void Execute(BroadcastAbort& aBroadcast);
+  void Execute(RequestConfiguration& aRequest);
   void Execute(CountEvent& aCount);
   void Execute(LogDecision& aDecision);
   Session* FindSession(std::uint64_t aHandle);
@@ -78,6 +79,8 @@
   asio::awaitable<void> RunReservationCommand(SendReservationCommand aCommand);
 
   void OnMessage(const Envelope& aEnvelope);
+  void SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion);
+  void OnConfiguration(const Envelope& aEnvelope, std::uint64_t aVersion);
   void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
   void OnEntries(const std::map<std::string, std::string>& aEntries);
   void SendToPeers(const Message& aMessage);
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -280,6 +280,7 @@
   forward.ReadNumber("retry_slack", settings.retrySlack);
   forward.ReadDuration("reservation_lease", settings.reservationLease);
   forward.ReadDuration("leave_bound", settings.targetDrainTimeout);
+  forward.ReadDuration("change_bound", settings.changeBound);
   forward.ReportUnknownKeys();
   SortErrors(aErrors);
   return aErrors.empty() ? std::optional(settings) : std::nullopt;
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -53,6 +53,8 @@
   Duration reservationLease = std::chrono::seconds(3); // See ForwardConfig.
   Duration targetDrainTimeout =
     std::chrono::seconds(2); // By when a draining target must get no new attempts.
+  Duration changeBound =
+    std::chrono::seconds(2); // By when a new version of the configuration must be in force.
 };
 
 // The settings of a sidecar.
--- /dev/null
+++ b/test/ConfigurationPathTest.cpp
@@ -0,0 +1,128 @@
+// End-to-end tests of how a new version of the operator's configuration reaches a forwarding entry,
+// from the store and from peers. The entries are real processes; the store is a stand-in, and so is
+// the peer.
+#include <boost/asio/executor_work_guard.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include "harness/PlatformDeployment.h"
+#include "net/PeerBus.h"
+
+namespace sycamorepost {
+namespace {
+
+using harness::MakePlatformConfiguration;
+using harness::MakePlatformRoute;
+using harness::PlatformDeployment;
+using harness::WaitUntil;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// A version must be in force within this time of its acknowledgement by the store.
+constexpr milliseconds kChangeBound{ 3'000 };
+
+// Returns a configuration with the route /look/, which version 1 lacks.
+std::string
+MakeConfigurationWithLook(std::uint64_t aVersion)
+{
+  json configuration = MakePlatformConfiguration(aVersion);
+  configuration["Routes"].push_back(MakePlatformRoute("look", "/look/", "idempotent", "ledger"));
+  return configuration.dump();
+}
+
+// A stand-in of another entry. Its bus runs only within Run().
+class Peer
+{
+public:
+  Peer(const std::string& aAddress, std::string aEntry)
+    : entry(std::move(aEntry))
+    , bus(
+        this->context,
+        aAddress,
+        1,
+        [this](const Envelope& aEnvelope) { this->OnMessage(aEnvelope); },
+        [](const std::string& /*aPeer*/) {})
+  {
+    std::string reason;
+    CPPUNIT_ASSERT_MESSAGE(reason, this->bus.Listen(aAddress, reason));
+  }
+
+  // Reports to the entry that this peer has a version of the configuration.
+  void ReportVersion(std::uint64_t aVersion)
+  {
+    EntryLoad load;
+    load.version = aVersion;
+    this->bus.Send(this->entry, 0, load, nullptr);
+  }
+
+  void SendConfiguration(std::uint64_t aVersion, const std::string& aText)
+  {
+    this->bus.Send(this->entry, 0, RulesResponse{ aVersion, 0 }, MakeBody(aText));
+  }
+
+  void Run(milliseconds aDuration) { this->context.run_for(aDuration); }
+
+  // How often the entry has requested the configuration.
+  int Requests() const { return this->requests; }
+
+private:
+  void OnMessage(const Envelope& aEnvelope)
+  {
+    this->requests += std::holds_alternative<RulesRequest>(aEnvelope.message) ? 1 : 0;
+  }
+
+  asio::io_context context{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> work{ this->context.get_executor() };
+  std::string entry;
+  PeerBus bus;
+  int requests = 0;
+};
+
+class ConfigurationPathTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ConfigurationPathTest);
+  CPPUNIT_TEST(ReportsOfOneVersionLeadToOneRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against one transfer of the configuration per load report: entries decoded hundreds of
+  // copies of one version and applied the next one seconds late.
+  void ReportsOfOneVersionLeadToOneRequest()
+  {
+    PlatformDeployment deployment;
+    Peer peer(deployment.EntryIp(9) + ":7000", deployment.PeerAddress(1));
+
+    // The peer has a version that the entry cannot read, as the store does not respond.
+    deployment.SetFaults(deployment.StoreAddress(), { { "outage", true } });
+    static constexpr int kReports = 40;
+    for (int i = 0; i < kReports; ++i) {
+      peer.ReportVersion(9);
+      peer.Run(milliseconds(20));
+    }
+    CPPUNIT_ASSERT(peer.Requests() <= 1);
+    CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] {
+      peer.Run(milliseconds(20));
+      return peer.Requests() == 1;
+    }));
+
+    // The response is applied, and a further report of the version leads to no request.
+    peer.SendConfiguration(9, MakeConfigurationWithLook(9));
+    peer.Run(milliseconds(200));
+    CPPUNIT_ASSERT(WaitUntil(
+      kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
+    peer.ReportVersion(9);
+    peer.Run(milliseconds(1'500));
+    CPPUNIT_ASSERT_EQUAL(1, peer.Requests());
+
+    // A response without effect does not keep the entry from requesting the next version.
+    peer.SendConfiguration(9, MakeConfigurationWithLook(9));
+    peer.ReportVersion(10);
+    peer.Run(milliseconds(1'500));
+    CPPUNIT_ASSERT_EQUAL(2, peer.Requests());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
+
+} // namespace
+} // namespace sycamorepost
