Give up a read of the configuration within the time that a change may take

Callers could get an old configuration for up to 6.5 s after the store had acknowledged a newer one, when no peer helped: a store that receives a read and never responds looks like one without news, and the entry waited 5 s for news and 1.5 s for the response. A change has to be in force after 2 s, 3 s on the grown deployments.

ConfigurationPathTest::HungReadDelaysAVersionByLessThanTheBound failed before: the route was still missing 3 s after the store's acknowledgement.

--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -71,7 +71,8 @@
       { this->settings.storeAddress,
         this->settings.name,
         this->settings.peerAddress,
-        this->settings.targetDrainTimeout },
+        this->settings.targetDrainTimeout,
+        this->settings.changeBound },
       { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
          this->OnRoutes(aTable, aText);
        },
--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -11,6 +11,7 @@
 namespace sycamorepost {
 namespace {
 
+using harness::kAwaitTimeout;
 using harness::MakePlatformConfiguration;
 using harness::MakePlatformRoute;
 using harness::PlatformDeployment;
@@ -82,6 +83,7 @@
 {
   CPPUNIT_TEST_SUITE(ConfigurationPathTest);
   CPPUNIT_TEST(ReportsOfOneVersionLeadToOneRequest);
+  CPPUNIT_TEST(HungReadDelaysAVersionByLessThanTheBound);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +122,20 @@
     peer.Run(milliseconds(1'500));
     CPPUNIT_ASSERT_EQUAL(2, peer.Requests());
   }
+
+  // Guards against a stale entry after a partial outage: the store received a read and never
+  // responded, and the entry waited for it for longer than a change may take.
+  void HungReadDelaysAVersionByLessThanTheBound()
+  {
+    PlatformDeployment deployment;
+    deployment.entries[1].Kill(); // No peer can help.
+    deployment.SetFaults(deployment.StoreAddress(), { { "hang_reads_of", "keyed.op" } });
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return deployment.HungReads() > 0; }));
+    deployment.SetFaults(deployment.StoreAddress(), json::object());
+    deployment.Publish("keyed.op", "config", MakeConfigurationWithLook(2));
+    CPPUNIT_ASSERT(WaitUntil(
+      kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
