Skip versions of the configuration that were superseded

An entry that missed several versions, for example during an outage of the store, read all of them, up to a megabyte a page, though only the last one counts. With a large configuration on a slow link each page takes a third of a second, while further versions are appended.

The configuration is now read one record a page; when the page does not reach the end of the topic, the newest record is read instead of those in between.

ConfigurationPathTest::EntryThatLagsReadsOnlyTheNewestVersion failed before: a suspended entry that missed 19 versions read all of them.

--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -1,6 +1,8 @@
 // End-to-end tests of how a new version of the operator's configuration reaches a forwarding entry,
 // from the store and from peers. The entries are real processes; the store is a stand-in, and so is
 // the peer.
+#include <csignal>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -22,12 +24,18 @@
 // A version must be in force within this time of its acknowledgement by the store.
 constexpr milliseconds kChangeBound{ 3'000 };
 
-// Returns a configuration with the route /look/, which version 1 lacks.
+// Returns a configuration with the route /look/, which version 1 lacks, and some unused routes.
 std::string
-MakeConfigurationWithLook(std::uint64_t aVersion)
+MakeConfigurationWithLook(std::uint64_t aVersion, int aUnusedRoutes = 0)
 {
   json configuration = MakePlatformConfiguration(aVersion);
   configuration["Routes"].push_back(MakePlatformRoute("look", "/look/", "idempotent", "ledger"));
+  for (int i = 0; i < aUnusedRoutes; ++i) {
+    const std::string name = "unused-" + std::to_string(i);
+    const std::string path = "/" + name + "/";
+    configuration["Routes"].push_back(
+      MakePlatformRoute(name.c_str(), path.c_str(), "idempotent", "ledger"));
+  }
   return configuration.dump();
 }
 
@@ -84,6 +92,7 @@
   CPPUNIT_TEST_SUITE(ConfigurationPathTest);
   CPPUNIT_TEST(ReportsOfOneVersionLeadToOneRequest);
   CPPUNIT_TEST(HungReadDelaysAVersionByLessThanTheBound);
+  CPPUNIT_TEST(EntryThatLagsReadsOnlyTheNewestVersion);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +145,29 @@
     CPPUNIT_ASSERT(WaitUntil(
       kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
   }
+
+  // Guards against an entry that reads every version that it missed: with a large configuration and
+  // versions in quick succession the reads took longer than the versions were apart.
+  void EntryThatLagsReadsOnlyTheNewestVersion()
+  {
+    PlatformDeployment deployment;
+    static constexpr int kUnusedRoutes = 1'500;
+    static constexpr std::uint64_t kVersions = 20;
+    const std::size_t bytes = MakeConfigurationWithLook(2, kUnusedRoutes).size();
+    deployment.entries[1].Kill();
+    deployment.entries[0].Signal(SIGSTOP);
+    for (std::uint64_t version = 2; version <= kVersions; ++version) {
+      deployment.Publish("keyed.op", "config", MakeConfigurationWithLook(version, kUnusedRoutes));
+    }
+    const std::uint64_t servedBefore = deployment.BytesServed("keyed.op");
+    deployment.entries[0].Signal(SIGCONT);
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      return harness::FetchDump(deployment.EntryIp(1) + ":7001").value("configuration", 0U) ==
+             kVersions;
+    }));
+    // One record that reveals the lag, and the newest version in Base64.
+    CPPUNIT_ASSERT(deployment.BytesServed("keyed.op") - servedBefore < 3 * bytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -133,6 +133,7 @@
       pageHeader + EncodeRecord({ "a", "one" }) + EncodeRecord({ "b", std::nullopt }), 7);
     CPPUNIT_ASSERT(page.has_value());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), page->nextOffset);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), page->endOffset);
     CPPUNIT_ASSERT_EQUAL(std::string("one"), *page->records[0].value);
     CPPUNIT_ASSERT(!page->records[1].value);
     CPPUNIT_ASSERT(!DecodeRawPage("short", 0));
