--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -246,7 +246,8 @@
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
     this->SendConfiguration(aEnvelope.from, request->version);
   } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
-    this->OnConfiguration(aEnvelope, response->version);
+    this->follower.AcceptPeerConfiguration(response->version, *aEnvelope.body, aEnvelope.from);
+    this->Step(PeerConfigurationReceived{ aEnvelope.from });
   }
 }
 
@@ -259,16 +260,6 @@
   }
 }
 
-void
-ForwardDaemon::OnConfiguration(const Envelope& aEnvelope, std::uint64_t aVersion)
-{
-  // Decoding a large configuration takes long, so a copy of a known version is dropped before.
-  if (aVersion > this->follower.ConfigurationVersion()) {
-    this->follower.AcceptConfiguration(*aEnvelope.body, aEnvelope.from);
-  }
-  this->Step(PeerConfigurationReceived{ aEnvelope.from });
-}
-
 void
 ForwardDaemon::OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText)
 {
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -80,7 +80,6 @@
 
   void OnMessage(const Envelope& aEnvelope);
   void SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion);
-  void OnConfiguration(const Envelope& aEnvelope, std::uint64_t aVersion);
   void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
   void OnEntries(const std::map<std::string, std::string>& aEntries);
   void SendToPeers(const Message& aMessage);
