--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(ReportsOfOneVersionLeadToOneRequest);
   CPPUNIT_TEST(HungReadDelaysAVersionByLessThanTheBound);
   CPPUNIT_TEST(EntryThatLagsReadsOnlyTheNewestVersion);
+  CPPUNIT_TEST(EndlessResponseIsAbandoned);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +169,21 @@
     // One record that reveals the lag, and the newest version in Base64.
     CPPUNIT_ASSERT(deployment.BytesServed("keyed.op") - servedBefore < 3 * bytes);
   }
+
+  // Guards against an entry that stores the bytes of a response without end until its memory is
+  // used up, and never reads the configuration again.
+  void EndlessResponseIsAbandoned()
+  {
+    PlatformDeployment deployment;
+    deployment.entries[1].Kill();
+    deployment.SetFaults(deployment.StoreAddress(), { { "endless_reads_of", "keyed.op" } });
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return deployment.AbandonedReads() >= 3; }));
+    CPPUNIT_ASSERT(deployment.entries[0].IsRunning());
+    deployment.SetFaults(deployment.StoreAddress(), json::object());
+    deployment.Publish("keyed.op", "config", MakeConfigurationWithLook(2));
+    CPPUNIT_ASSERT(WaitUntil(
+      kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -137,15 +137,25 @@
 std::uint64_t
 PlatformDeployment::HungReads() const
 {
-  const HttpReply reply = SendHttpRequest(this->StoreAddress(), "GET", "/counters");
-  return json::parse(reply.body).at("hung_reads").get<std::uint64_t>();
+  return this->StoreCounters().at("hung_reads").get<std::uint64_t>();
+}
+
+std::uint64_t
+PlatformDeployment::AbandonedReads() const
+{
+  return this->StoreCounters().at("abandoned_reads").get<std::uint64_t>();
 }
 
 std::uint64_t
 PlatformDeployment::BytesServed(const std::string& aTopic) const
 {
-  const HttpReply reply = SendHttpRequest(this->StoreAddress(), "GET", "/counters");
-  return json::parse(reply.body).at("bytes_served").at(aTopic).get<std::uint64_t>();
+  return this->StoreCounters().at("bytes_served").at(aTopic).get<std::uint64_t>();
+}
+
+json
+PlatformDeployment::StoreCounters() const
+{
+  return json::parse(SendHttpRequest(this->StoreAddress(), "GET", "/counters").body);
 }
 
 void
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -67,6 +67,9 @@
   // Returns how many reads of the store hang, as it received them and never responds.
   std::uint64_t HungReads() const;
 
+  // Returns how many endless responses of the store were abandoned by their reader.
+  std::uint64_t AbandonedReads() const;
+
   // Returns the bytes of all responses to reads of a topic of the store.
   std::uint64_t BytesServed(const std::string& aTopic) const;
 
@@ -79,6 +82,7 @@
 
 private:
   std::string Ip(int aGroup, int aIndex) const;
+  nlohmann::json StoreCounters() const;
   Process Start(const std::string& aName,
                 const std::string& aProgram,
                 const std::vector<std::string>& aArguments);
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's store: topics of keyed records that are read by offset or as the
-// newest record of each key. It injects outages, reads that hang, and responses that are lost after
-// the append took effect.
+// newest record of each key. It injects outages, reads that hang, responses that do not end, and
+// responses that are lost after the append took effect.
 #include <map>
 #include <memory>
 #include <random>
@@ -48,6 +48,12 @@
            aRecord.substr(std::min<std::size_t>(1 + length, aRecord.size())) };
 }
 
+bool
+IsRead(const std::string& aPath)
+{
+  return aPath == "/log-read" || aPath == "/log-newest";
+}
+
 struct Topic
 {
   explicit Topic(asio::io_context& aContext)
@@ -78,14 +84,16 @@
       this->outage = json.value("outage", false);
       this->lostResponseShare = json.value("lose_answers", 0.0);
       this->hungTopic = json.value("hang_reads_of", "");
+      this->endlessTopic = json.value("endless_reads_of", "");
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/counters") {
       co_await RespondJson(aExchange, 200, this->CountersJson());
     } else if (this->outage) {
       co_await RespondError(aExchange, 503, "outage");
-    } else if (!this->hungTopic.empty() && aRequest.Query("Topic") == this->hungTopic &&
-               path != "/log-append") {
+    } else if (IsRead(path) && aRequest.Query("Topic") == this->hungTopic) {
       co_await this->Hang();
+    } else if (IsRead(path) && aRequest.Query("Topic") == this->endlessTopic) {
+      co_await this->RespondEndlessly(aExchange);
     } else if (path == "/log-append") {
       co_await this->Append(this->FindOrAddTopic(aRequest), aRequest, aExchange);
     } else if (path == "/log-read") {
@@ -113,7 +121,9 @@
     for (const auto& [name, topic] : this->topics) {
       bytesServed[name] = topic->bytesServed;
     }
-    return { { "hung_reads", this->hungReads }, { "bytes_served", std::move(bytesServed) } };
+    return { { "hung_reads", this->hungReads },
+             { "abandoned_reads", this->abandonedReads },
+             { "bytes_served", std::move(bytesServed) } };
   }
 
   // Never responds, and keeps the connection open.
@@ -124,6 +134,17 @@
     co_await timer.async_wait(kTuple);
   }
 
+  // Sends a body until the reader closes the connection.
+  asio::awaitable<void> RespondEndlessly(HttpExchange& aExchange)
+  {
+    static constexpr std::size_t kPieceBytes = 64 * 1024;
+    bool open = co_await aExchange.BeginStream(200, {});
+    while (open) {
+      open = co_await aExchange.Write(std::string(kPieceBytes, '\0'));
+    }
+    ++this->abandonedReads;
+  }
+
   asio::awaitable<void> Append(Topic& aTopic, const HttpRequest& aRequest, HttpExchange& aExchange)
   {
     static constexpr std::size_t kLengthBytes = 4;
@@ -193,7 +214,9 @@
   bool outage = false;
   std::string hungTopic; // Reads of this topic hang; empty when none do.
   std::uint64_t hungReads = 0;
-  double lostResponseShare = 0; // Share of appends that take effect but whose response is lost.
+  std::string endlessTopic; // Responses to reads of this topic do not end; empty when all end.
+  std::uint64_t abandonedReads = 0; // Endless responses whose reader closed the connection.
+  double lostResponseShare = 0;     // Share of appends that take effect but whose response is lost.
 };
 
 } // namespace
