--- a/src/core/forward/ConfigurationFetcher.cpp
+++ b/src/core/forward/ConfigurationFetcher.cpp
@@ -59,6 +59,7 @@
 {
   const bool changed = this->storeDelivers != aReached;
   this->storeDelivers = aReached;
+  // Each read that reaches the store shows progress, and gives it more time to deliver a version.
   if (this->requestedPeer.empty() && (aReached || changed)) {
     this->dueAt = Instant::max();
     this->Schedule(aNow);
@@ -71,6 +72,7 @@
   if (aNow < this->dueAt) {
     return std::nullopt;
   }
+  // The time that the store had to deliver the version has passed.
   this->storeDelivers = false;
   if (!this->requestedPeer.empty()) {
     // The peer did not respond; it is asked again only after its next report.
