--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -21,7 +21,8 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// A version must be in force within this time of its acknowledgement by the store.
+// A version must be in force within this time of its acknowledgement by the store. The entries run
+// with the default bound of two seconds; the rest is for a slow machine.
 constexpr milliseconds kChangeBound{ 3'000 };
 
 // Returns a configuration with the route /look/, which version 1 lacks, and some unused routes.
