Judge a response by its request id before its refusal

Cause: a response with 503 and the not-executed mark was taken as a promise before its request id was compared. An engine that repeated an earlier refusal made the entry run a non-idempotent request at a second target, or tell the caller that it had not run. Change: a response that names another request is a failed attempt, whatever it states. Before: the test sees 2 attempts; after: 1 attempt and status 502.

--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -28,6 +28,11 @@
   }
   const std::string status = std::to_string(aHead.status);
   const std::string instance = state->attempt->placement.target.instance;
+  // What a response to another request states, says nothing about this one.
+  if (aHead.requestMismatch) {
+    this->FailAttempt(*state, "the answer " + status + " belongs to another request", true);
+    return;
+  }
   if (aHead.notExecuted || aHead.instanceMismatch) {
     for (const PrefillHelper& helper : state->attempt->placement.helpers) {
       if (!aHead.failedHelperAddress.empty() && helper.address == aHead.failedHelperAddress) {
@@ -44,7 +49,7 @@
       *state, "the target answered " + status + " and did not run the request" + fault);
     return;
   }
-  if (aHead.requestMismatch || (!aHead.isSigned && aHead.status / 100 != 4) ||
+  if ((!aHead.isSigned && aHead.status / 100 != 4) ||
       (aHead.status / 100 == 2 && !aHead.isIdentityEncoded)) {
     this->FailAttempt(*state, "the answer " + status + " is not the target's", true);
     return;
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -186,6 +186,7 @@
   CPPUNIT_TEST(IdempotentCallIsRetriedOnAnotherTarget);
   CPPUNIT_TEST(StreamResumesAfterLastCompleteEvent);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
+  CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
   CPPUNIT_TEST(ReservationsAreReleasedWithTheirRequest);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
   CPPUNIT_TEST(RequestsEndAtTheirDeadline);
@@ -338,6 +339,22 @@
     CPPUNIT_ASSERT_EQUAL(1, driver.aborted);
   }
 
+  // Guards against a refusal that an engine repeats from an earlier request being passed on as a
+  // promise that this request did not run.
+  void RefusalOfAnotherRequestIsNoPromise()
+  {
+    ForwardReducerDriver driver;
+    driver.SendRequest("/book/");
+    AttemptHead head;
+    head.attempt = driver.starts.back().attempt;
+    head.status = 503;
+    head.notExecuted = true;
+    head.requestMismatch = true;
+    driver.Step(head);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(502, driver.responses.back().status);
+  }
+
   void ReservationsAreReleasedWithTheirRequest()
   {
     // A prompt that needs more than half of an engine's KV cache is split over several engines.
