Keep error text out of begun streams and deliver events before a gap

Cause: an event without an id was passed on wherever it came, so the error text of an engine that took over appeared in the caller's stream, which then ended as complete. Events that came in one piece with an event behind a gap were counted as delivered and dropped, and the next engine resumed after them. Change: after an event with an id, text that is neither an event with an id nor a comment fails the attempt; complete events before a fault are written first; a begun stream goes on only with the status 200. Before: both new tests fail (the error text is delivered; events 1 and 2 are not); after: they pass.

--- a/include/sycamorepost/forward/EventStream.h
+++ b/include/sycamorepost/forward/EventStream.h
@@ -14,6 +14,7 @@
 struct StreamEvent
 {
   std::optional<std::uint64_t> id;
+  bool isComment = false; // All of its lines are comments, which begin with a colon.
   std::string bytes;
 };
 
--- a/src/core/forward/EventStream.cpp
+++ b/src/core/forward/EventStream.cpp
@@ -1,5 +1,7 @@
 #include "sycamorepost/forward/EventStream.h"
 
+#include <algorithm>
+
 #include "sycamorepost/internal/Text.h"
 
 namespace sycamorepost {
@@ -19,6 +21,15 @@
   return std::nullopt;
 }
 
+bool
+IsComment(std::string_view aEvent)
+{
+  const auto lines = internal::SplitLines(aEvent);
+  return std::all_of(lines.begin(), lines.end(), [](std::string_view aLine) {
+    return internal::Trim(aLine).empty() || aLine.starts_with(':');
+  });
+}
+
 // Returns the offset behind the first empty line, or nothing when there is none yet.
 std::optional<std::size_t>
 FindEventEnd(std::string_view aText, std::size_t aFrom)
@@ -43,6 +54,7 @@
     StreamEvent event;
     event.bytes = this->buffer.substr(from, *end - from);
     event.id = FindId(event.bytes);
+    event.isComment = !event.id && IsComment(event.bytes);
     events.push_back(std::move(event));
     from = *end;
   }
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -55,8 +55,9 @@
     return;
   }
   const bool serverError = aHead.status / 100 == 5;
-  const bool mayRetry = state->headSent || (serverError && this->MayRetry(*state));
-  if (aHead.status / 100 != 2 && mayRetry) {
+  const bool mayRetry = serverError && this->MayRetry(*state);
+  // A stream that has begun goes on with events only.
+  if (state->headSent ? aHead.status != 200 : mayRetry) {
     this->loadTracker.RecordFailure(instance, this->now);
     this->FailAttempt(*state, "the target answered " + status, true);
     return;
@@ -84,22 +85,34 @@
 ForwardReducer::Impl::DeliverEvents(RequestState& aState, const std::string& aBytes)
 {
   std::string newEvents;
-  for (StreamEvent& event : aState.attempt->events.Feed(aBytes)) {
-    if (event.id) {
-      if (aState.lastEventId && *event.id <= *aState.lastEventId) {
-        continue;
-      }
-      if (aState.lastEventId && *event.id != *aState.lastEventId + 1) {
-        this->FailAttempt(aState, "an event of the stream is missing", true);
-        return;
-      }
-      aState.lastEventId = event.id;
+  const char* fault = nullptr;
+  for (const StreamEvent& event : aState.attempt->events.Feed(aBytes)) {
+    if (event.id && aState.lastEventId && *event.id <= *aState.lastEventId) {
+      continue;
+    }
+    if (event.id && aState.lastEventId && *event.id != *aState.lastEventId + 1) {
+      fault = "an event of the stream is missing";
+      break;
     }
+    if (!event.id && !event.isComment && aState.lastEventId) {
+      fault = "the stream contains text that is no event";
+      break;
+    }
+    aState.lastEventId = event.id ? event.id : aState.lastEventId;
     newEvents += event.bytes;
   }
-  if (newEvents.empty()) {
-    return;
+  if (!newEvents.empty()) {
+    this->PassOnEvents(aState, std::move(newEvents));
   }
+  if (fault) {
+    this->FailAttempt(aState, fault, true);
+  }
+}
+
+// Writes complete events to the caller, after the response head if they are the first.
+void
+ForwardReducer::Impl::PassOnEvents(RequestState& aState, std::string aEvents)
+{
   if (!aState.headSent) {
     aState.headSent = true;
     this->effects.emplace_back(
@@ -118,7 +131,7 @@
       this->loadTracker.MarkPrefilled(work, this->now);
     }
   }
-  this->effects.emplace_back(WriteResponse{ aState.request.handle, std::move(newEvents) });
+  this->effects.emplace_back(WriteResponse{ aState.request.handle, std::move(aEvents) });
   this->ArmStallTimer(aState,
                       std::max(kMinStallTimeout, aState.route->gapObjective * kStallGapObjectives));
 }
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -148,6 +148,7 @@
   internal::RequestState* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
   void DeliverEvents(internal::RequestState& aState, const std::string& aBytes);
+  void PassOnEvents(internal::RequestState& aState, std::string aEvents);
   void CompleteBuffered(internal::RequestState& aState);
   void FailAttempt(internal::RequestState& aState, const std::string& aReason, bool aCancel);
   void HandleNotExecuted(internal::RequestState& aState, const std::string& aReason);
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -186,6 +186,8 @@
   CPPUNIT_TEST(IdempotentCallIsRetriedOnAnotherTarget);
   CPPUNIT_TEST(StreamResumesAfterLastCompleteEvent);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
+  CPPUNIT_TEST(EventsBeforeMissingEventAreDelivered);
+  CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
   CPPUNIT_TEST(ReservationsAreReleasedWithTheirRequest);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
@@ -339,6 +341,51 @@
     CPPUNIT_ASSERT_EQUAL(1, driver.aborted);
   }
 
+  // Guards against the loss of events that arrive together with one behind a gap: the next engine
+  // resumes after them.
+  void EventsBeforeMissingEventAreDelivered()
+  {
+    ForwardReducerDriver driver;
+    driver.SendRequest("/draft/", 5000);
+    driver.ReceiveHead(200);
+    driver.ReceiveData(MakeEvent(1) + MakeEvent(2) + MakeEvent(5));
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(1) + MakeEvent(2), driver.delivered);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *driver.starts.back().resumeAfter);
+  }
+
+  // Guards against an error text in the middle of a stream, or as its end, when the engine that
+  // takes over responds with an error.
+  void ErrorTextOfNextEngineStaysOutOfStream()
+  {
+    for (const bool hasErrorStatus : { false, true }) {
+      ForwardReducerDriver driver;
+      driver.SendRequest("/draft/", 5000);
+      driver.ReceiveHead(200);
+      driver.ReceiveData(MakeEvent(1));
+      driver.EndAttempt(AttemptEndKind::Aborted);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+      driver.ReceiveHead(hasErrorStatus ? 500 : 200);
+      driver.ReceiveData("HTTP/1.1 500 Internal Server Error\r\n\r\n");
+      driver.ReceiveData("error: out of memory\n\n");
+      driver.EndAttempt(AttemptEndKind::Complete);
+      CPPUNIT_ASSERT_EQUAL(MakeEvent(1), driver.delivered);
+      CPPUNIT_ASSERT_EQUAL(0, driver.completed);
+      CPPUNIT_ASSERT_EQUAL(1, driver.aborted);
+    }
+
+    // A success other than 200 carries no events either.
+    ForwardReducerDriver driver;
+    driver.SendRequest("/draft/", 5000);
+    driver.ReceiveHead(200);
+    driver.ReceiveData(MakeEvent(1));
+    driver.EndAttempt(AttemptEndKind::Aborted);
+    driver.ReceiveHead(204);
+    driver.EndAttempt(AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(0, driver.completed);
+    CPPUNIT_ASSERT_EQUAL(1, driver.aborted);
+    CPPUNIT_ASSERT(driver.responses.empty());
+  }
+
   // Guards against a refusal that an engine repeats from an earlier request being passed on as a
   // promise that this request did not run.
   void RefusalOfAnotherRequestIsNoPromise()
