Bound what the HTTP client buffers of a response

Cause: chunk headers, trailers and whole bodies without end were buffered until the request's timeout, so a faulty target could exhaust the memory of an entry.

--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -194,6 +194,8 @@
   Duration timeout = std::chrono::seconds(5);
   // A running VM accepts a connection within milliseconds; this tolerates one lost packet.
   Duration connectTimeout = std::chrono::seconds(2);
+  // The largest body that Fetch accepts; streams have no limit.
+  std::uint64_t maxBodyBytes = 16 * 1024 * 1024;
 };
 
 // A request in the form that Beast writes to the connection.
@@ -233,6 +235,9 @@
 std::map<std::string, HttpTraffic>&
 FetchTraffic();
 
+// The longest response head, chunk header or trailer that the client accepts.
+inline constexpr std::size_t kMaxResponseHeadBytes = 256 * 1024;
+
 // Sends one request over a new connection and reads the whole response.
 asio::awaitable<HttpReply>
 Fetch(HttpCall aCall);
@@ -264,7 +269,7 @@
 
 private:
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxResponseHeadBytes };
   http::response_parser<http::string_body> parser;
   bool complete = false;
   bool timedOut = false;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -131,9 +131,9 @@
   if (!sent) {
     co_return reply;
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxResponseHeadBytes);
   http::response_parser<http::string_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit(aCall.maxBodyBytes);
   const auto [error, size] = co_await http::async_read(stream, buffer, parser, kAsTuple);
   FetchTraffic()[aCall.address].receivedBytes += size;
   if (error) {
