Abandon whole responses and events that do not end

Cause: the body of a response that is passed on as a whole, and an incomplete event of a stream, were buffered until the request's deadline. Change: 16 MiB for a whole response and 1 MiB for an event; beyond that, the attempt has failed. Before: the test buffers 64 MiB without an end; after: the attempt ends and another target is tried.

--- a/include/sycamorepost/forward/EventStream.h
+++ b/include/sycamorepost/forward/EventStream.h
@@ -28,6 +28,9 @@
   // Returns whether no incomplete event is buffered.
   bool IsEmpty() const { return this->buffer.empty(); }
 
+  // Returns the size of the buffered incomplete event.
+  std::size_t BufferedBytes() const { return this->buffer.size(); }
+
 private:
   std::string buffer;
 };
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -17,6 +17,10 @@
 // Gap objectives without an event after which a stream counts as failed.
 constexpr int kStallGapObjectives = 4;
 
+// The largest response that is passed on as a whole, and the largest event of a stream.
+constexpr std::size_t kMaxWholeResponseBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 } // namespace
 
 void
@@ -78,6 +82,9 @@
     this->DeliverEvents(*state, aData.bytes);
   } else {
     state->attempt->body += aData.bytes;
+    if (state->attempt->body.size() > kMaxWholeResponseBytes) {
+      this->FailAttempt(*state, "the answer does not end", true);
+    }
   }
 }
 
@@ -101,6 +108,9 @@
     aState.lastEventId = event.id ? event.id : aState.lastEventId;
     newEvents += event.bytes;
   }
+  if (aState.attempt->events.BufferedBytes() > kMaxEventBytes) {
+    fault = "an event of the stream does not end";
+  }
   if (!newEvents.empty()) {
     this->PassOnEvents(aState, std::move(newEvents));
   }
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -188,6 +188,7 @@
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(EventsBeforeMissingEventAreDelivered);
   CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
+  CPPUNIT_TEST(EndlessBytesEndTheAttempt);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
   CPPUNIT_TEST(ReservationsAreReleasedWithTheirRequest);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
@@ -386,6 +387,23 @@
     CPPUNIT_ASSERT(driver.responses.empty());
   }
 
+  // Guards against memory that grows with a response or an event without end.
+  void EndlessBytesEndTheAttempt()
+  {
+    const std::string piece(1024 * 1024, 'x');
+    for (const char* path : { "/look/", "/draft/" }) {
+      ForwardReducerDriver driver;
+      driver.SendRequest(path, path == std::string("/draft/") ? 5000 : 0);
+      driver.ReceiveHead(200);
+      for (int i = 0; i < 64 && driver.cancelled == 0; ++i) {
+        driver.ReceiveData(piece);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 1, driver.cancelled);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+      CPPUNIT_ASSERT(driver.delivered.empty());
+    }
+  }
+
   // Guards against a refusal that an engine repeats from an earlier request being passed on as a
   // promise that this request did not run.
   void RefusalOfAnotherRequestIsNoPromise()
