Heed targets that announce their leaving or ask for a pause

Cause: an engine that leaves says so in its answers before the store lists it as draining, and one that turns a request away may say how long it wants nothing; entries read neither. Change: TargetNotices keeps both by incarnation of the target. A leaving target gets no new work, prefill or reservation from then on, and peers are told; a paused one gets none until its time. When all targets of a service pause, callers are refused at once with the time of the first end. A prompt whose reservations were granted is placed anew when one of its engines has announced either in the meantime.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -284,6 +284,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// Entry to entries: a target has announced in a response that it is leaving.
+struct TargetLeavingNotice
+{
+  std::string instance;
+  std::int64_t startedAtMs = 0; // The Unix time of the start of its incarnation.
+};
+
 using Message = std::variant<ProbeRequest,
                              ProbeReply,
                              Start,
@@ -307,14 +314,15 @@
                              SegmentStored,
                              SegmentMoved,
                              EntryLoad,
-                             AbortNotice>;
+                             AbortNotice,
+                             TargetLeavingNotice>;
 
 // The names of the messages in the order of the variant, used as metric labels.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
-  "probe",     "probe-reply", "start",     "refused",    "chunk",      "finished",
-  "cancel",    "ping",        "pong",      "leaving",    "suspect",    "cleared",
-  "rules-ask", "rules-tell",  "load",      "hold-ask",   "hold-reply", "hold-release",
-  "span-put",  "span-held",   "span-done", "span-moved", "entry-load", "break"
+  "probe",      "probe-reply", "start",      "refused",       "chunk",    "finished",  "cancel",
+  "ping",       "pong",        "leaving",    "suspect",       "cleared",  "rules-ask", "rules-tell",
+  "load",       "hold-ask",    "hold-reply", "hold-release",  "span-put", "span-held", "span-done",
+  "span-moved", "entry-load",  "break",      "target-leaving"
 };
 
 // A message with its sender and the incarnations of both ends.
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -17,6 +17,7 @@
 #include "sycamorepost/forward/LoadTracker.h"
 #include "sycamorepost/forward/RouteTable.h"
 #include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/TargetNotices.h"
 
 namespace sycamorepost {
 
@@ -58,6 +59,7 @@
   bool requestMismatch = false;  // The response carries the id of another request.
   bool isIdentityEncoded = true; // The body has no content encoding.
   std::string failedHelperAddress; // The helper that caused the failure, if any.
+  TargetAnnouncement announcement;
 };
 
 // A part of the body of a target's response.
@@ -88,6 +90,8 @@
   std::uint64_t command = 0;
   bool replied = false;
   bool granted = false;
+  std::string instance; // The target that was commanded.
+  TargetAnnouncement announcement;
 };
 
 // Another version of the routes is in force.
@@ -132,6 +136,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// A peer reports that a target has announced that it is leaving.
+struct PeerLeavingReport
+{
+  std::string instance;
+  std::int64_t startedAtMs = 0; // See RegisteredTarget.
+};
+
 using ForwardEvent = std::variant<ForwardRequest,
                                   ForwardCallerDisconnected,
                                   AttemptHead,
@@ -144,6 +155,7 @@
                                   PeerConfigurationReceived,
                                   ConfigurationReadEnd,
                                   PeerAbortReport,
+                                  PeerLeavingReport,
                                   Wake>;
 
 // ---- Effects ----
@@ -237,6 +249,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// Reports to all peers that a target has announced that it is leaving.
+struct BroadcastLeaving
+{
+  std::string instance;
+  std::int64_t startedAtMs = 0; // See RegisteredTarget.
+};
+
 // Requests the configuration from a peer, which responds if it has a newer version.
 struct RequestConfiguration
 {
@@ -263,6 +282,7 @@
                                    SendReservationCommand,
                                    BroadcastLoad,
                                    BroadcastAbort,
+                                   BroadcastLeaving,
                                    RequestConfiguration,
                                    CountEvent,
                                    LogDecision>;
--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/Placement.h
@@ -13,6 +13,7 @@
 #include "sycamorepost/forward/LoadTracker.h"
 #include "sycamorepost/forward/RouteTable.h"
 #include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/TargetNotices.h"
 
 namespace sycamorepost {
 
@@ -22,12 +23,13 @@
   const ServiceTraits* service = nullptr;
   std::uint32_t promptTokens = 0; // 0 for a plain call.
   std::uint32_t outputTokens = 0;
-  Duration objective{};                 // The first event is on time within it.
-  Duration strictGap{};                 // The shortest gap objective of all streams,
-  Duration relaxedGap{};                // and the shortest one of the relaxed streams.
-  Duration gapObjective{};              // The gap objective of the request's route.
-  std::set<std::string> triedInstances; // Instances that must not be used again.
-  std::string domain;                   // The failure domain of the entry.
+  Duration objective{};                   // The first event is on time within it.
+  Duration strictGap{};                   // The shortest gap objective of all streams,
+  Duration relaxedGap{};                  // and the shortest one of the relaxed streams.
+  Duration gapObjective{};                // The gap objective of the request's route.
+  std::set<std::string> triedInstances;   // Instances that must not be used again.
+  const TargetNotices* notices = nullptr; // Targets that want no work; may be null.
+  std::string domain;                     // The failure domain of the entry.
   double unreportedPrompts = 0; // Expected prompts placed by other entries and not yet reported.
 };
 
@@ -46,6 +48,7 @@
   NoTarget, // No usable target is registered.
   Full,     // No combination of engines has enough free memory.
   TooLarge, // The prompt exceeds the memory of all engines together.
+  Paused,   // All targets want no work for a while.
 };
 
 // The chosen target with its helpers, and the predicted times.
@@ -56,7 +59,7 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PlacedWork> placedWork; // The load that it adds, by target.
   double firstEventMs = 0;            // Predicted time to the first event; 0 for a plain call.
-  double waitMs = 0;                  // When full: predicted time until there is capacity.
+  double waitMs = 0;                  // When full or paused: time until there is capacity.
 };
 
 // Chooses the target and the helpers of one request. Returns a status other than Placed when there
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -144,6 +144,7 @@
                   pendingPrefillMs)
 SYCAMOREPOST_WIRE(EntryLoad, reports, isSnapshot, version)
 SYCAMOREPOST_WIRE(AbortNotice, fingerprint)
+SYCAMOREPOST_WIRE(TargetLeavingNotice, instance, startedAtMs)
 
 namespace {
 
--- a/src/core/forward/ForwardAdmission.cpp
+++ b/src/core/forward/ForwardAdmission.cpp
@@ -89,10 +89,12 @@
 {
   const Duration suggested =
     aState.retryAfterHint > Duration::zero() ? aState.retryAfterHint : kDefaultRetryAfter;
-  const Duration base = std::clamp(suggested, kMinRetryAfter, kMaxRetryAfter);
+  const Duration maximum = aState.isRetryAfterRequested ? Duration::max() : kMaxRetryAfter;
+  const Duration base = std::clamp(suggested, kMinRetryAfter, maximum);
   // Random jitter of up to one half, so that refused callers do not retry at the same time.
+  const Duration maxJitter = std::min(base, kMaxRetryAfter) / 2;
   return base +
-         Duration(std::uniform_int_distribution<std::int64_t>(0, base.count() / 2)(this->random));
+         Duration(std::uniform_int_distribution<std::int64_t>(0, maxJitter.count())(this->random));
 }
 
 void
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -37,6 +37,9 @@
     this->FailAttempt(*state, "the answer " + status + " belongs to another request", true);
     return;
   }
+  if (!aHead.instanceMismatch) {
+    this->RecordAnnouncement(state->attempt->placement.target, aHead.announcement);
+  }
   if (aHead.notExecuted || aHead.instanceMismatch) {
     for (const PrefillHelper& helper : state->attempt->placement.helpers) {
       if (!aHead.failedHelperAddress.empty() && helper.address == aHead.failedHelperAddress) {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -87,6 +87,8 @@
   Duration maxEventGap{};                   // Between two events that were passed on.
   std::string lastFailure;
   Duration retryAfterHint{}; // Predicted wait of the last failed placement.
+  // The hint is not a prediction: it is what the targets asked for.
+  bool isRetryAfterRequested = false;
 };
 
 } // namespace sycamorepost::internal
@@ -110,6 +112,7 @@
   void OnEvent(const PeerConfigurationReceived& aReceived);
   void OnEvent(const ConfigurationReadEnd& aEnd);
   void OnEvent(const PeerAbortReport& aReport);
+  void OnEvent(const PeerLeavingReport& aReport);
   void OnEvent(const Wake& aWake);
 
   // Schedules a broadcast when the last event changed the load of this entry.
@@ -172,6 +175,8 @@
   RetryBudget& BudgetOf(const std::string& aService);
   std::size_t EntryCount() const;
   void RecordAbort(const internal::RequestState& aState);
+  void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
+  bool IsUsable(const std::string& aInstance) const;
   std::uint32_t AbortCount(std::uint64_t aFingerprint);
   void AddAbort(std::uint64_t aFingerprint);
   void RunPeriodicWork();
@@ -186,6 +191,7 @@
   std::shared_ptr<const RouteTable> table; // Null until the first routes are known.
   std::map<std::string, RegisteredTarget> targets;
   LoadTracker loadTracker;
+  TargetNotices notices;
   ConfigurationFetcher fetcher;
   struct KnownPeer
   {
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -66,11 +66,13 @@
   Placement placement =
     ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
   if (placement.status != PlacementStatus::Placed) {
-    static constexpr std::array<const char*, 4> kReasons{ "",
+    static constexpr std::array<const char*, 5> kReasons{ "",
                                                           "no target is known",
                                                           "all engines' memory is taken",
-                                                          "the prompt is larger than all engines" };
+                                                          "the prompt is larger than all engines",
+                                                          "all targets want no work for a while" };
     aState.retryAfterHint = FromMs(placement.waitMs);
+    aState.isRetryAfterRequested = placement.status == PlacementStatus::Paused;
     this->FailRequest(aState, kReasons.at(static_cast<std::size_t>(placement.status)));
     return;
   }
@@ -100,6 +102,7 @@
   request.strictGap = aState.table->MinGapObjective();
   request.relaxedGap = aState.table->RelaxedGapObjective();
   request.triedInstances = aState.triedInstances;
+  request.notices = &this->notices;
   request.domain = this->config.domain;
   request.unreportedPrompts = this->promptRate.PerSecond(this->now) *
                               static_cast<double>(this->peers.size()) *
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -83,6 +83,13 @@
   this->AddAbort(aReport.fingerprint);
 }
 
+void
+ForwardReducer::Impl::OnEvent(const PeerLeavingReport& aReport)
+{
+  this->notices.Record(
+    aReport.instance, aReport.startedAtMs, { .isLeaving = true, .pause = {} }, this->now);
+}
+
 void
 ForwardReducer::Impl::OnEvent(const Wake& /*aWake*/)
 {
@@ -119,6 +126,7 @@
   if (this->now >= this->housekeepingAt) {
     this->housekeepingAt = this->now + kHousekeepingInterval;
     this->RemoveUnresponsivePeers();
+    this->notices.Expire(this->targets, this->now);
     std::erase_if(this->aborts,
                   [this](const auto& aAbort) { return aAbort.second.expiresAt < this->now; });
     std::erase_if(this->recentRefusals,
@@ -155,7 +163,7 @@
   const bool hasAlternative =
     std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& aTarget) {
       return aTarget.second.service == aState.service && aTarget.first != instance &&
-             !aTarget.second.draining && !aState.triedInstances.contains(aTarget.first);
+             this->IsUsable(aTarget.first) && !aState.triedInstances.contains(aTarget.first);
     });
   if (!hasAlternative || !this->MayRetry(aState) || this->BudgetOf(aState.service).Level() < 1) {
     this->loadTracker.RecordFailure(instance, this->now);
@@ -245,6 +253,38 @@
   this->effects.emplace_back(BroadcastAbort{ aState.request.fingerprint });
 }
 
+// Peers learn of a leaving target before the store lists it as draining.
+void
+ForwardReducer::Impl::RecordAnnouncement(const RegisteredTarget& aTarget,
+                                         const TargetAnnouncement& aAnnouncement)
+{
+  const std::string& instance = aTarget.instance;
+  if (this->notices.Record(instance, aTarget.startedAtMs, aAnnouncement, this->now)) {
+    this->Count("forward_targets_leaving", "");
+    this->effects.emplace_back(LogDecision{ "target-leaving", "", { { "target", instance } } });
+    const auto known = this->targets.find(instance);
+    if (known != this->targets.end() && !known->second.draining) {
+      this->effects.emplace_back(BroadcastLeaving{ instance, aTarget.startedAtMs });
+    }
+  }
+  if (aAnnouncement.pause) {
+    this->Count("forward_target_pauses", "");
+    this->effects.emplace_back(LogDecision{
+      "target-paused",
+      "",
+      { { "target", instance }, { "pause_ms", std::to_string(ToMillis(*aAnnouncement.pause)) } } });
+  }
+}
+
+// Returns whether new work may be sent to a target.
+bool
+ForwardReducer::Impl::IsUsable(const std::string& aInstance) const
+{
+  const auto found = this->targets.find(aInstance);
+  return found != this->targets.end() && !found->second.draining &&
+         this->notices.MayReceive(found->second, this->now);
+}
+
 void
 ForwardReducer::Impl::AddAbort(std::uint64_t aFingerprint)
 {
@@ -307,6 +347,8 @@
                                   { "address", target.address },
                                   { "domain", target.domain },
                                   { "draining", target.draining },
+                                  { "leaving", this->notices.IsLeaving(target) },
+                                  { "paused", !this->notices.MayReceive(target, aNow) },
                                   { "running", load.running },
                                   { "memory_tokens", load.kvTokens },
                                   { "read_ms", load.PrefillMs(aNow) },
--- a/src/core/forward/ForwardReservations.cpp
+++ b/src/core/forward/ForwardReservations.cpp
@@ -64,6 +64,10 @@
 void
 ForwardReducer::Impl::OnEvent(const ReservationCommandEnd& aEnd)
 {
+  const auto target = this->targets.find(aEnd.instance);
+  if (target != this->targets.end()) {
+    this->RecordAnnouncement(target->second, aEnd.announcement);
+  }
   const auto release = this->releases.find(aEnd.command);
   if (release != this->releases.end()) {
     internal::PendingRelease retry = std::move(release->second);
@@ -115,7 +119,11 @@
     std::all_of(all.begin(), all.end(), [](const HelperReservation& aOne) { return aOne.granted; });
   Placement placement = std::move(*aState.pendingPlacement);
   aState.pendingPlacement.reset();
-  if (granted) {
+  const bool isUsable =
+    std::all_of(placement.placedWork.begin(),
+                placement.placedWork.end(),
+                [this](const PlacedWork& aWork) { return this->IsUsable(aWork.instance); });
+  if (granted && isUsable) {
     this->StartPlaced(aState, std::move(placement));
     return;
   }
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -90,6 +90,7 @@
   for (const auto& [instance, target] : aTargets) {
     const bool usable = target.service == aRequest.service->name && !target.draining &&
                         !aRequest.triedInstances.contains(instance) &&
+                        (!aRequest.notices || aRequest.notices->MayReceive(target, aNow)) &&
                         (aIncludeAvoided || !aLoadTracker.IsAvoided(instance, aNow));
     if (usable) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
@@ -100,6 +101,28 @@
   return candidates;
 }
 
+// Returns a placement without a target. When all usable targets want no work for a while, its
+// status is Paused, and its wait ends with the first pause.
+Placement
+MakeUnplaced(const PlacementRequest& aRequest,
+             const std::map<std::string, RegisteredTarget>& aTargets,
+             Instant aNow)
+{
+  Instant firstEnd = Instant::max();
+  for (const auto& [instance, target] : aTargets) {
+    if (aRequest.notices && target.service == aRequest.service->name && !target.draining &&
+        !aRequest.notices->IsLeaving(target)) {
+      firstEnd = std::min(firstEnd, aRequest.notices->PausedUntil(target));
+    }
+  }
+  Placement placement;
+  if (firstEnd != Instant::max() && firstEnd > aNow) {
+    placement.status = PlacementStatus::Paused;
+    placement.waitMs = ToMs(firstEnd - aNow);
+  }
+  return placement;
+}
+
 double
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
@@ -378,7 +401,7 @@
     candidates = CollectCandidates(aRequest, aTargets, aLoadTracker, true, aNow);
   }
   if (candidates.empty()) {
-    return {};
+    return MakeUnplaced(aRequest, aTargets, aNow);
   }
   const bool isPrompt = aRequest.service->engine.has_value() && aRequest.promptTokens > 0;
   return isPrompt ? PlacePrompt(aRequest, std::move(candidates), aLoadTracker, aRandom)
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -213,6 +213,12 @@
   this->SendToPeers(AbortNotice{ aBroadcast.fingerprint });
 }
 
+void
+ForwardDaemon::Execute(BroadcastLeaving& aBroadcast)
+{
+  this->SendToPeers(TargetLeavingNotice{ aBroadcast.instance, aBroadcast.startedAtMs });
+}
+
 void
 ForwardDaemon::Execute(RequestConfiguration& aRequest)
 {
@@ -243,6 +249,8 @@
       aEnvelope.from, aEnvelope.fromIncarnation, load->reports, load->isSnapshot, load->version });
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
     this->Step(PeerAbortReport{ notice->fingerprint });
+  } else if (const auto* leaving = std::get_if<TargetLeavingNotice>(&aEnvelope.message)) {
+    this->Step(PeerLeavingReport{ leaving->instance, leaving->startedAtMs });
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
     this->SendConfiguration(aEnvelope.from, request->version);
   } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -63,6 +63,7 @@
   void Execute(SendReservationCommand& aCommand);
   void Execute(BroadcastLoad& aBroadcast);
   void Execute(BroadcastAbort& aBroadcast);
+  void Execute(BroadcastLeaving& aBroadcast);
   void Execute(RequestConfiguration& aRequest);
   void Execute(CountEvent& aCount);
   void Execute(LogDecision& aDecision);
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -183,8 +183,7 @@
 ForwardDaemon::RunReservationCommand(SendReservationCommand aCommand)
 {
   const HttpReply reply = co_await Fetch(platform::EncodeReservationCommand(aCommand));
-  this->Step(ReservationCommandEnd{
-    aCommand.command, reply.stage == HttpStage::Responded, platform::IsReservationGranted(reply) });
+  this->Step(platform::DecodeReservationEnd(aCommand, reply));
 }
 
 } // namespace sycamorepost
--- a/test/ForwardPathTest.cpp
+++ b/test/ForwardPathTest.cpp
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(AbortedStreamResumesOnAnotherEngine);
   CPPUNIT_TEST(PromptLargerThanOneEngineIsSplit);
   CPPUNIT_TEST(EntriesServeDuringStoreOutageAndUpdateAfterwards);
+  CPPUNIT_TEST(LeavingEngineIsLeftAloneByAllEntries);
+  CPPUNIT_TEST(PausedEnginesGetNothingAndCallersTheirTime);
   CPPUNIT_TEST(GracefulStopCompletesStreams);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +117,56 @@
     }
   }
 
+  // Guards against requests to an engine that says in its responses that it is leaving, while its
+  // registration still says ready.
+  void LeavingEngineIsLeftAloneByAllEntries()
+  {
+    PlatformDeployment deployment;
+    for (int i = 1; i <= 3; ++i) {
+      deployment.SetFaults(deployment.TargetAddress(i), { { "leaving", i != 3 } });
+    }
+    // Two requests through one entry reach both leaving engines at the most once each.
+    int sent = 0;
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(++sent);
+      CPPUNIT_ASSERT_EQUAL(200, deployment.SendRequest(1, "/draft/round", id, 5'000).status);
+    }
+    std::uint64_t servedByLeaving = 0;
+    for (int i = 1; i <= 2; ++i) {
+      servedByLeaving += deployment.EngineCounter(i, "Served");
+      CPPUNIT_ASSERT(deployment.EngineCounter(i, "Served") <= 1);
+    }
+    // The other entry knows it from the first one.
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(++sent);
+      CPPUNIT_ASSERT_EQUAL(200, deployment.SendRequest(2, "/draft/round", id, 5'000).status);
+    }
+    const std::uint64_t served =
+      deployment.EngineCounter(1, "Served") + deployment.EngineCounter(2, "Served");
+    CPPUNIT_ASSERT(served <= 2);
+    CPPUNIT_ASSERT(served >= servedByLeaving);
+  }
+
+  // Guards against requests to engines that have asked for a pause, and against callers who return
+  // before it ends.
+  void PausedEnginesGetNothingAndCallersTheirTime()
+  {
+    PlatformDeployment deployment;
+    for (int i = 1; i <= 3; ++i) {
+      deployment.SetFaults(deployment.TargetAddress(i), { { "retry_after", "30.5" } });
+    }
+    HttpReply reply;
+    for (int i = 0; i < 6; ++i) {
+      reply = deployment.SendRequest(1, "/draft/round", "r" + std::to_string(i), 5'000);
+      CPPUNIT_ASSERT_EQUAL(503, reply.status);
+    }
+    for (int i = 1; i <= 3; ++i) {
+      CPPUNIT_ASSERT(deployment.EngineCounter(i, "Refused") <= 2);
+    }
+    const double seconds = std::stod(HeaderField(reply, "Retry-After"));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(seconds), seconds > 25 && seconds < 33);
+  }
+
   void GracefulStopCompletesStreams()
   {
     PlatformDeployment deployment;
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -137,6 +137,17 @@
     this->Step(head);
   }
 
+  void Announce(int aStatus, const TargetAnnouncement& aAnnouncement)
+  {
+    AttemptHead head;
+    head.attempt = this->starts.back().attempt;
+    head.status = aStatus;
+    head.isSigned = true;
+    head.notExecuted = aStatus == 503;
+    head.announcement = aAnnouncement;
+    this->Step(head);
+  }
+
   void ReceiveData(const std::string& aBytes)
   {
     this->Step(AttemptData{ this->starts.back().attempt, aBytes });
@@ -190,6 +201,9 @@
   CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
   CPPUNIT_TEST(EndlessBytesEndTheAttempt);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
+  CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
+  CPPUNIT_TEST(PausedTargetGetsNothingUntilItsTime);
+  CPPUNIT_TEST(PauseDuringReservationMovesPrompt);
   CPPUNIT_TEST(ReservationsAreReleasedWithTheirRequest);
   CPPUNIT_TEST(CallerDisconnectCancelsAttempt);
   CPPUNIT_TEST(RequestsEndAtTheirDeadline);
@@ -420,6 +434,98 @@
     CPPUNIT_ASSERT_EQUAL(502, driver.responses.back().status);
   }
 
+  // Guards against requests to an engine that has announced that it is leaving, before the store
+  // lists it as draining, and after its registration has lapsed and returned.
+  void LeavingTargetGetsNoNewWork()
+  {
+    ForwardReducerDriver driver(2);
+    driver.SendRequest("/draft/", 3000);
+    const std::string leaving = driver.starts.back().instance;
+    driver.Announce(200, { .isLeaving = true, .pause = {} });
+    driver.ReceiveData(MakeEvent(1)); // The request that it runs goes on.
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(1), driver.delivered);
+    const auto assertUnused = [&] {
+      for (int i = 0; i < 4; ++i) {
+        driver.SendRequest("/draft/", 3000);
+        CPPUNIT_ASSERT(driver.starts.back().instance != leaving);
+      }
+    };
+    assertUnused();
+    const RegisteredTarget target = driver.targets[leaving];
+    driver.targets.erase(leaving);
+    driver.Step(TargetsChanged{ driver.targets });
+    driver.targets[leaving] = target;
+    driver.Step(TargetsChanged{ driver.targets });
+    assertUnused();
+
+    // Peers are told once, and treat the engine alike.
+    ForwardReducerDriver peer(2);
+    peer.Step(PeerLeavingReport{ leaving, 0 });
+    for (int i = 0; i < 4; ++i) {
+      peer.SendRequest("/draft/", 3000);
+      CPPUNIT_ASSERT(peer.starts.back().instance != leaving);
+    }
+
+    // A new incarnation is another engine, also under the same instance id.
+    for (auto& [instance, known] : peer.targets) {
+      known.draining = instance != leaving;
+      known.startedAtMs = 7;
+    }
+    peer.Step(TargetsChanged{ peer.targets });
+    peer.SendRequest("/draft/", 3000);
+    CPPUNIT_ASSERT_EQUAL(leaving, peer.starts.back().instance);
+  }
+
+  // Guards against requests to an engine that has asked for a pause with its refusal, and against
+  // callers who are told to return before any engine accepts work.
+  void PausedTargetGetsNothingUntilItsTime()
+  {
+    ForwardReducerDriver driver(2);
+    driver.SendRequest("/draft/", 3000);
+    const std::string first = driver.starts.back().instance;
+    driver.Announce(503, { .isLeaving = false, .pause = milliseconds(8000) });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size()); // Moved to the other engine.
+    CPPUNIT_ASSERT(driver.starts.back().instance != first);
+    driver.Announce(503, { .isLeaving = false, .pause = milliseconds(5000) });
+
+    // Both want nothing: callers are refused at once, until the first pause ends.
+    CPPUNIT_ASSERT_EQUAL(503, driver.responses.back().status);
+    driver.AdvanceTime(milliseconds(1000));
+    driver.SendRequest("/draft/", 3000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+    CPPUNIT_ASSERT(*driver.responses.back().retryAfter >= milliseconds(4000));
+    CPPUNIT_ASSERT(*driver.responses.back().retryAfter <= milliseconds(5500));
+
+    // The pause of the second engine has ended, that of the first has not.
+    driver.AdvanceTime(milliseconds(4001));
+    for (int i = 0; i < 4; ++i) {
+      driver.SendRequest("/draft/", 3000);
+      CPPUNIT_ASSERT(driver.starts.back().instance != first);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), driver.starts.size());
+  }
+
+  // Guards against a prompt that starts on an engine which announced its leaving while memory was
+  // reserved on others.
+  void PauseDuringReservationMovesPrompt()
+  {
+    ForwardReducerDriver driver(8);
+    driver.SendRequest("/sift/", 400'000);
+    const std::vector<SendReservationCommand> reserves = driver.commands;
+    CPPUNIT_ASSERT(!reserves.empty());
+    for (const SendReservationCommand& reserve : reserves) {
+      ReservationCommandEnd end{ reserve.command, true, true };
+      end.instance = reserve.instance;
+      end.announcement.isLeaving = &reserve == &reserves.front();
+      driver.Step(end);
+    }
+    CPPUNIT_ASSERT(driver.starts.empty());
+    for (const SendReservationCommand& command : driver.commands) {
+      const bool isNew = command.tokens > 0 && command.command > reserves.back().command;
+      CPPUNIT_ASSERT(!isNew || command.instance != reserves.front().instance);
+    }
+  }
+
   void ReservationsAreReleasedWithTheirRequest()
   {
     // A prompt that needs more than half of an engine's KV cache is split over several engines.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(DecodersReturnOnCorruptedInput);
   CPPUNIT_TEST(StorePagesAreDecoded);
   CPPUNIT_TEST(HeaderFieldsAreTranslated);
+  CPPUNIT_TEST(AnnouncementsOfTargetsAreDecoded);
   CPPUNIT_TEST(RegistrationsMissingAfterOutageExpireLater);
   CPPUNIT_TEST(TargetsDeregisteredAfterOutageAreRemovedInTime);
   CPPUNIT_TEST(EventsAreParsedForAnySplitOfInput);
@@ -202,6 +203,31 @@
                          EncodeRefusalFields("", std::chrono::milliseconds(250)).back().second);
   }
 
+  void AnnouncementsOfTargetsAreDecoded()
+  {
+    const auto decode = [](int aStatus, const std::string& aRetryAfter) {
+      HttpReply reply{ HttpStage::Responded, aStatus, {}, "", "" };
+      reply.fields = { { "Retry-After", aRetryAfter }, { "server-leaving", "1" } };
+      return DecodeResponseHead(1, "id", reply).announcement;
+    };
+    CPPUNIT_ASSERT(decode(503, "2.25").pause == std::chrono::milliseconds(2250));
+    CPPUNIT_ASSERT(decode(503, "2.25").isLeaving);
+    CPPUNIT_ASSERT(!decode(200, "2").pause);
+    for (const char* invalid : { "", "-1", "0", "nan", "2s", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+      CPPUNIT_ASSERT_MESSAGE(invalid, !decode(503, invalid).pause);
+    }
+    CPPUNIT_ASSERT(*decode(503, "1e300").pause > std::chrono::hours(24));
+
+    // The response to a command announces as well, unless another instance sent it.
+    for (const int status : { 200, 409, 503, 421 }) {
+      HttpReply reply{ HttpStage::Responded, status, { { "Server-Leaving", "1" } }, "", "" };
+      const ReservationCommandEnd end = DecodeReservationEnd({ .instance = "i-1" }, reply);
+      CPPUNIT_ASSERT_EQUAL(status != 421, end.announcement.isLeaving);
+      CPPUNIT_ASSERT_EQUAL(std::string("i-1"), end.instance);
+    }
+    CPPUNIT_ASSERT(!DecodeReservationEnd({}, HttpReply()).announcement.isLeaving);
+  }
+
   void RegistrationsMissingAfterOutageExpireLater()
   {
     std::string reason;
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -123,13 +123,19 @@
   return runs;
 }
 
+std::uint64_t
+PlatformDeployment::EngineCounter(int aIndex, const char* aName) const
+{
+  const HttpReply reply = SendHttpRequest(this->TargetAddress(aIndex), "GET", "/report");
+  return json::parse(reply.body).at(aName).get<std::uint64_t>();
+}
+
 std::uint64_t
 PlatformDeployment::ReservedTokens() const
 {
   std::uint64_t tokens = 0;
   for (int i = 1; i <= 3; ++i) {
-    const HttpReply reply = SendHttpRequest(this->TargetAddress(i), "GET", "/report");
-    tokens += json::parse(reply.body).at("KvUsed").get<std::uint64_t>();
+    tokens += this->EngineCounter(i, "KvUsed");
   }
   return tokens;
 }
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -61,6 +61,9 @@
   // Returns how often each request ran on any target, by request id.
   std::map<std::string, int> RunCounts() const;
 
+  // Returns a member of the report of an engine.
+  std::uint64_t EngineCounter(int aIndex, const char* aName) const;
+
   // Returns the tokens that are reserved or used on all engines.
   std::uint64_t ReservedTokens() const;
 
--- a/test/standins/registered.cpp
+++ b/test/standins/registered.cpp
@@ -56,6 +56,8 @@
       const nlohmann::json json = ParseBody(aRequest);
       this->abortAfterEvents = json.value("break_after", std::uint64_t{ 0 });
       this->state = json.value("draining", false) ? "draining" : "ready";
+      this->isLeaving = json.value("leaving", false);
+      this->retryAfter = json.value("retry_after", "");
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/report") {
       co_await this->Report(aExchange);
@@ -107,10 +109,9 @@
     for (const auto& [name, reservation] : this->reservations) {
       tickets.push_back({ { "Id", name }, { "Tokens", reservation.tokens }, { "State", "held" } });
     }
-    const nlohmann::json report{ { "Stage", "prefill_decode" },
-                                 { "NumRunning", this->running },
-                                 { "KvUsed", reserved },
-                                 { "KvTotal", FLAGS_memory },
+    const nlohmann::json report{ { "Stage", "prefill_decode" },    { "NumRunning", this->running },
+                                 { "KvUsed", reserved },           { "KvTotal", FLAGS_memory },
+                                 { "Refused", this->refusals },    { "Served", this->served },
                                  { "Tickets", std::move(tickets) } };
     co_await RespondJson(aExchange, 200, report);
   }
@@ -143,8 +144,12 @@
 
   std::vector<Field> ResponseFields(const HttpRequest& aRequest) const
   {
-    return { { kRequestId, aRequest.Field(kRequestId) },
-             { kResponseSignature, "sig-" + FLAGS_name } };
+    std::vector<Field> fields{ { kRequestId, aRequest.Field(kRequestId) },
+                               { kResponseSignature, "sig-" + FLAGS_name } };
+    if (this->isLeaving) {
+      fields.emplace_back("Server-Leaving", "1");
+    }
+    return fields;
   }
 
   asio::awaitable<void> Refuse(int aStatus, const HttpRequest& aRequest, HttpExchange& aExchange)
@@ -152,6 +157,9 @@
     std::vector<Field> fields = this->ResponseFields(aRequest);
     fields.emplace_back(kNotExecuted, "1");
     fields.emplace_back("At-Server", FLAGS_listen);
+    if (!this->retryAfter.empty()) {
+      fields.emplace_back("Retry-After", this->retryAfter);
+    }
     co_await aExchange.Respond(aStatus, std::move(fields), MakeBody(""));
   }
 
@@ -166,7 +174,13 @@
       co_await this->Refuse(503, aRequest, aExchange);
       co_return;
     }
+    if (!this->retryAfter.empty()) {
+      ++this->refusals;
+      co_await this->Refuse(503, aRequest, aExchange);
+      co_return;
+    }
     std::ofstream(FLAGS_effects, std::ios::app) << aRequest.Field(kRequestId) << "\n";
+    ++this->served;
     ++this->running;
     if (FLAGS_engine) {
       co_await this->Stream(aRequest, aExchange);
@@ -210,6 +224,10 @@
                                    .count();
   std::map<std::string, Reservation> reservations; // By name.
   std::uint64_t running = 0;
+  std::uint64_t served = 0;
+  std::uint64_t refusals = 0;
+  bool isLeaving = false; // Announced in responses, not in the registration.
+  std::string retryAfter; // Announced with refusals; when not empty, requests are refused.
   std::uint64_t abortAfterEvents = 0; // Number of events after which a stream aborts; 0 for never.
 };
 
