Report load by failure domain

Cause: every entry reported each change of its load to every other one, and encoded the message anew for each. A placement walked the maps of all peers for each target. Change: EntryGroup keeps the registered entries by failure domain; an entry registers its domain beside its address. Load is reported to the entries of the own domain, less often with more of them, and as a sum a few times a second by two reporters of each domain to one entry of each other domain, which relays it. A message to many is encoded once. LoadTracker keeps peers' loads by target. Entries of earlier versions, which register no domain, are told directly.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -291,6 +291,9 @@
   std::int64_t startedAtMs = 0; // The Unix time of the start of its incarnation.
 };
 
+// The message DomainLoadReport goes from an entry to one of another failure domain, which relays it
+// to the entries of its own domain.
+
 using Message = std::variant<ProbeRequest,
                              ProbeReply,
                              Start,
@@ -315,14 +318,16 @@
                              SegmentMoved,
                              EntryLoad,
                              AbortNotice,
-                             TargetLeavingNotice>;
+                             TargetLeavingNotice,
+                             DomainLoadReport>;
 
 // The names of the messages in the order of the variant, used as metric labels.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
-  "probe",      "probe-reply", "start",      "refused",       "chunk",    "finished",  "cancel",
-  "ping",       "pong",        "leaving",    "suspect",       "cleared",  "rules-ask", "rules-tell",
-  "load",       "hold-ask",    "hold-reply", "hold-release",  "span-put", "span-held", "span-done",
-  "span-moved", "entry-load",  "break",      "target-leaving"
+  "probe",          "probe-reply", "start",     "refused",    "chunk",      "finished",
+  "cancel",         "ping",        "pong",      "leaving",    "suspect",    "cleared",
+  "rules-ask",      "rules-tell",  "load",      "hold-ask",   "hold-reply", "hold-release",
+  "span-put",       "span-held",   "span-done", "span-moved", "entry-load", "break",
+  "target-leaving", "domain-load"
 };
 
 // A message with its sender and the incarnations of both ends.
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -14,6 +14,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "sycamorepost/Effects.h"
+#include "sycamorepost/forward/EntryGroup.h"
 #include "sycamorepost/forward/LoadTracker.h"
 #include "sycamorepost/forward/RouteTable.h"
 #include "sycamorepost/forward/TargetDirectory.h"
@@ -106,6 +107,12 @@
   std::map<std::string, RegisteredTarget> targets;
 };
 
+// The registered entries have changed; this one is among them.
+struct EntriesChanged
+{
+  std::map<std::string, RegisteredEntry> entries; // By name.
+};
+
 // A peer reports its load.
 struct PeerLoadReport
 {
@@ -151,7 +158,9 @@
                                   ReservationCommandEnd,
                                   RoutesChanged,
                                   TargetsChanged,
+                                  EntriesChanged,
                                   PeerLoadReport,
+                                  DomainLoadReport,
                                   PeerConfigurationReceived,
                                   ConfigurationReadEnd,
                                   PeerAbortReport,
@@ -236,11 +245,19 @@
   Duration lease{};
 };
 
-// Reports this entry's load to all peers.
+// Reports this entry's load to the peers at the given addresses.
 struct BroadcastLoad
 {
   std::vector<TargetLoadReport> loads;
   bool isSnapshot = false;
+  std::vector<std::string> recipients;
+};
+
+// Sends the load of a failure domain to the entries at the given addresses.
+struct SendDomainLoad
+{
+  DomainLoadReport report;
+  std::vector<std::string> recipients;
 };
 
 // Reports an aborted attempt of a request to all peers.
@@ -281,6 +298,7 @@
                                    SendResponse,
                                    SendReservationCommand,
                                    BroadcastLoad,
+                                   SendDomainLoad,
                                    BroadcastAbort,
                                    BroadcastLeaving,
                                    RequestConfiguration,
@@ -292,7 +310,8 @@
 // The settings of the reducer.
 struct ForwardConfig
 {
-  std::string name; // Unique among the entries.
+  std::string name;    // Unique among the entries.
+  std::string address; // Where the peers reach this entry, "ip:port".
   std::string domain;
   std::uint64_t seed = 0;
   // Retries that all entries together may make: a number per request, and a slack beside it.
--- a/include/sycamorepost/forward/LoadTracker.h
+++ b/include/sycamorepost/forward/LoadTracker.h
@@ -4,9 +4,11 @@
 #define SYCAMOREPOST_FORWARD_LOAD_TRACKER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "sycamorepost/Types.h"
@@ -53,11 +55,13 @@
   void MarkPrefilled(const PlacedWork& aWork, Instant aNow);
   void Remove(const PlacedWork& aWork, bool aWasPrefilled, Instant aNow);
 
-  // Apply the load that a peer reports, and drop all reports of a peer that is down.
+  // Apply the load that a peer reports, and drop all reports of a peer that is down. A peer is
+  // another entry, or all entries of another failure domain together. Reports with invalid times are
+  // ignored.
   void ApplyReport(const std::string& aPeer,
                    const std::vector<TargetLoadReport>& aReports,
                    Instant aNow);
-  void RemovePeer(const std::string& aPeer) { this->peerLoads.erase(aPeer); }
+  void RemovePeer(const std::string& aPeer);
 
   // Returns this entry's own load on the targets where it changed since the last call.
   std::vector<TargetLoadReport> TakeChanges(Instant aNow);
@@ -66,6 +70,10 @@
   // Returns all of this entry's own load.
   std::vector<TargetLoadReport> Snapshot(Instant aNow) const;
 
+  // Returns the load of this entry and of the peers that aIncludes accepts, summed by target.
+  std::vector<TargetLoadReport>
+  SnapshotOf(const std::function<bool(const std::string& aPeer)>& aIncludes, Instant aNow) const;
+
   // Returns the load of all entries on a target.
   TargetLoad LoadOf(const std::string& aInstance, Instant aNow) const;
 
@@ -91,14 +99,22 @@
     Instant avoidUntil;
   };
 
-  using LoadByInstance = std::map<std::string, TargetLoad>; // By instance.
+  // The load that one peer has placed on a target. Few peers have any on one target at a time.
+  struct PeerLoad
+  {
+    std::uint32_t peer = 0; // Its number.
+    TargetLoad load;
+  };
 
   TargetHealth& CountFailure(const std::string& aInstance);
   void BackOff(TargetHealth& aHealth, Instant aNow);
+  void SetPeerLoad(std::uint32_t aPeer, const TargetLoadReport& aReport, Instant aNow);
 
-  LoadByInstance ownLoads;
-  std::map<std::string, LoadByInstance> peerLoads;
-  std::map<std::string, TargetHealth> health;
+  std::map<std::string, TargetLoad> ownLoads;                       // By instance.
+  std::unordered_map<std::string, std::vector<PeerLoad>> peerLoads; // By instance.
+  std::unordered_map<std::string, std::uint32_t> peerNumbers;       // By peer.
+  std::uint32_t lastPeerNumber = 0;
+  std::unordered_map<std::string, TargetHealth> health; // By instance; only after failures.
   std::set<std::string> changedInstances;
 };
 
--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/Placement.h
@@ -30,7 +30,10 @@
   std::set<std::string> triedInstances;   // Instances that must not be used again.
   const TargetNotices* notices = nullptr; // Targets that want no work; may be null.
   std::string domain;                     // The failure domain of the entry.
-  double unreportedPrompts = 0; // Expected prompts placed by other entries and not yet reported.
+  // Expected prompts that other entries have placed and not yet reported: those of the entry's own
+  // failure domain, and all.
+  double unreportedPrompts = 0;
+  double unreportedPromptsElsewhere = 0;
 };
 
 // An engine that prefills a part of the prompt.
--- a/include/sycamorepost/forward/TargetLoadReport.h
+++ b/include/sycamorepost/forward/TargetLoadReport.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sycamorepost {
 
@@ -18,6 +19,17 @@
   double pendingPrefillMs = 0;     // Prefill time of requests without a first event.
 };
 
+// The load of all entries of one failure domain on the targets, as reported to other domains.
+struct DomainLoadReport
+{
+  std::string domain;
+  std::string reporter;                   // The address of the entry that made the report.
+  std::uint64_t configurationVersion = 0; // The version in force there.
+  std::uint32_t entries = 0;              // The live entries of the domain.
+  bool isRelayed = false;                 // It is not to be relayed again.
+  std::vector<TargetLoadReport> loads;    // Targets that are not listed are idle.
+};
+
 } // namespace sycamorepost
 
 #endif // SYCAMOREPOST_FORWARD_TARGET_LOAD_REPORT_H_
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -145,6 +145,13 @@
 SYCAMOREPOST_WIRE(EntryLoad, reports, isSnapshot, version)
 SYCAMOREPOST_WIRE(AbortNotice, fingerprint)
 SYCAMOREPOST_WIRE(TargetLeavingNotice, instance, startedAtMs)
+SYCAMOREPOST_WIRE(DomainLoadReport,
+                  domain,
+                  reporter,
+                  configurationVersion,
+                  entries,
+                  isRelayed,
+                  loads)
 
 namespace {
 
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -20,10 +20,6 @@
 // callers wait for one, so that another target can still respond.
 inline constexpr Duration kMinStallTimeout = std::chrono::milliseconds(900);
 
-// The delay from the first change of a load to its broadcast. Several changes share one message; a
-// pass of an engine takes twice as long.
-inline constexpr Duration kBroadcastDelay = std::chrono::milliseconds(25);
-
 // With less remaining time than this, no target could respond.
 inline constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 
@@ -108,7 +104,9 @@
   void OnEvent(const ReservationCommandEnd& aEnd);
   void OnEvent(const RoutesChanged& aChanged);
   void OnEvent(const TargetsChanged& aChanged);
+  void OnEvent(const EntriesChanged& aChanged);
   void OnEvent(const PeerLoadReport& aReport);
+  void OnEvent(const DomainLoadReport& aReport);
   void OnEvent(const PeerConfigurationReceived& aReceived);
   void OnEvent(const ConfigurationReadEnd& aEnd);
   void OnEvent(const PeerAbortReport& aReport);
@@ -143,6 +141,7 @@
   void Launch(internal::RequestState& aState);
   PlacementRequest MakePlacementRequest(const internal::RequestState& aState,
                                         const ServiceTraits& aService) const;
+  double UnreportedElsewhere(double aInDomain) const;
   void StartPlaced(internal::RequestState& aState, Placement aPlacement);
   std::uint32_t UrgencyOf(const internal::RequestState& aState) const;
   void ArmStallTimer(internal::RequestState& aState, Duration aTimeout);
@@ -174,6 +173,8 @@
   void SetWake(internal::RequestState& aState);
   RetryBudget& BudgetOf(const std::string& aService);
   std::size_t EntryCount() const;
+  Duration BroadcastDelay() const;
+  void ReportDomainLoad();
   void RecordAbort(const internal::RequestState& aState);
   void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
   bool IsUsable(const std::string& aInstance) const;
@@ -193,12 +194,19 @@
   LoadTracker loadTracker;
   TargetNotices notices;
   ConfigurationFetcher fetcher;
+  EntryGroup group;
   struct KnownPeer
   {
     std::uint64_t incarnation = 0;
     Instant lastReceivedAt;
   };
-  std::map<std::string, KnownPeer> peers;
+  std::map<std::string, KnownPeer> peers; // By address.
+  struct KnownDomain
+  {
+    std::size_t entries = 0;
+    Instant lastReceivedAt;
+  };
+  std::map<std::string, KnownDomain> domains; // Other failure domains, by name.
   RateMeter promptRate;                       // Prompts placed by this entry.
   std::map<std::string, RetryBudget> budgets; // By service.
   struct AbortRecord
@@ -215,7 +223,8 @@
   std::mt19937_64 random;
   std::uint64_t attemptSequence = 0;
   std::uint64_t commandSequence = 0;
-  Instant broadcastAt = Instant::max(); // When changed loads are broadcast.
+  Instant broadcastAt = Instant::max();    // When changed loads are broadcast.
+  Instant domainReportAt = Instant::max(); // When the domain's load is due to be reported.
   // When old records are dropped, and the load is broadcast even if nothing changed.
   Instant housekeepingAt;
 };
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -6,7 +6,6 @@
 namespace sycamorepost {
 
 using internal::Attempt;
-using internal::kBroadcastDelay;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
 using internal::RequestState;
@@ -17,9 +16,9 @@
 // retransmission.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
-// Time until the other entries know of a placement: the broadcast delay, one way between failure
-// domains, and a wake-up on either side.
-constexpr Duration kReportDelay = kBroadcastDelay + std::chrono::milliseconds(15);
+// Time until a neighbour knows of a placement, beside the broadcast delay: one way, and a wake-up
+// on either side.
+constexpr Duration kReportTransit = std::chrono::milliseconds(15);
 
 // Placements of one request in total, whatever their result.
 constexpr std::uint32_t kMaxPlacements = 8;
@@ -28,6 +27,10 @@
 // response has to follow: for a long prompt, prefill and decode take about equally long.
 constexpr int kFirstEventDivisor = 2;
 
+// The age of a report of another failure domain on average: half of the interval, two ways and a
+// relay.
+constexpr Duration kDomainReportAge = std::chrono::milliseconds(160);
+
 // A plain call may take 1/kPlainCallDivisor of the remaining time before another target is tried.
 constexpr int kPlainCallDivisor = 3;
 
@@ -104,12 +107,27 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.domain = this->config.domain;
+  const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
   request.unreportedPrompts = this->promptRate.PerSecond(this->now) *
                               static_cast<double>(this->peers.size()) *
-                              std::chrono::duration<double>(kReportDelay).count();
+                              std::chrono::duration<double>(reportDelay).count();
+  request.unreportedPromptsElsewhere = this->UnreportedElsewhere(request.unreportedPrompts);
   return request;
 }
 
+// Returns the expected number of prompts that entries of any failure domain have placed and not yet
+// reported. aInDomain is that of this entry's domain.
+double
+ForwardReducer::Impl::UnreportedElsewhere(double aInDomain) const
+{
+  std::size_t remoteEntries = 0;
+  for (const auto& [name, domain] : this->domains) {
+    remoteEntries += domain.entries;
+  }
+  return aInDomain + this->promptRate.PerSecond(this->now) * static_cast<double>(remoteEntries) *
+                       std::chrono::duration<double>(kDomainReportAge).count();
+}
+
 // Returns the longest accepted wait for the first event. In a persistent queue every caller would
 // be late, so a few are refused for the others to be on time. A caller that retries has waited
 // already and may wait longer.
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -1,6 +1,7 @@
 #include "sycamorepost/forward/ForwardReducer.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -9,7 +10,6 @@
 namespace sycamorepost {
 
 using internal::Attempt;
-using internal::kBroadcastDelay;
 using internal::RequestState;
 
 namespace {
@@ -18,6 +18,24 @@
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 constexpr Duration kPeerTimeout = std::chrono::seconds(3);
 
+// The delay from the first change of a load to its broadcast: the least one, the share of it for
+// each recipient, and the greatest one. Several changes share one message; a pass of an engine
+// takes twice the least delay.
+constexpr Duration kMinBroadcastDelay = std::chrono::milliseconds(25);
+constexpr Duration kBroadcastDelayPerPeer = std::chrono::milliseconds(2);
+constexpr Duration kMaxBroadcastDelay = std::chrono::milliseconds(200);
+
+// The reporters of a failure domain, of which one may be lost unnoticed, and how often they report
+// together.
+constexpr std::size_t kDomainReporters = 2;
+constexpr Duration kDomainReportInterval = std::chrono::milliseconds(250);
+
+// A neighbour that was not heard for two broadcasts does not count as a reporter.
+constexpr Duration kReporterTimeout = std::chrono::milliseconds(2200);
+
+// The loads of another failure domain are known in LoadTracker under its name with this prefix.
+constexpr const char* kDomainPrefix = "domain ";
+
 // The least number of entries that is assumed: reports of some may not have been received yet.
 constexpr std::size_t kMinAssumedEntries = 6;
 
@@ -29,6 +47,7 @@
 ForwardReducer::Impl::Impl(ForwardConfig aConfig)
   : config(std::move(aConfig))
   , fetcher(config.changeBound, config.seed)
+  , group(config.address, config.domain)
   , random(config.seed)
 {
 }
@@ -59,22 +78,60 @@
   this->targets = aChanged.targets;
 }
 
+void
+ForwardReducer::Impl::OnEvent(const EntriesChanged& aChanged)
+{
+  this->group.SetEntries(aChanged.entries);
+  if (this->domainReportAt == Instant::max()) {
+    this->domainReportAt = this->now + Duration(this->random() % kDomainReportInterval.count());
+  }
+}
+
 void
 ForwardReducer::Impl::OnEvent(const PeerLoadReport& aReport)
 {
+  this->fetcher.RecordPeerVersion(aReport.peer, aReport.configurationVersion, this->now);
+  if (this->group.IsRemote(aReport.peer)) {
+    return; // Its load is part of the report of its domain.
+  }
   const auto known = this->peers.find(aReport.peer);
   const bool isNew = known == this->peers.end() || known->second.incarnation != aReport.incarnation;
   if (isNew) {
     // A peer that has just started does not know the load of this entry, and has none of its
     // earlier incarnation.
-    this->effects.emplace_back(BroadcastLoad{ this->loadTracker.Snapshot(this->now), true });
+    std::vector<TargetLoadReport> loads = this->loadTracker.Snapshot(this->now);
+    if (!loads.empty()) {
+      this->effects.emplace_back(BroadcastLoad{ std::move(loads), true, { aReport.peer } });
+    }
   }
   this->peers[aReport.peer] = { aReport.incarnation, this->now };
   if (aReport.isSnapshot || isNew) {
     this->loadTracker.RemovePeer(aReport.peer);
   }
   this->loadTracker.ApplyReport(aReport.peer, aReport.loads, this->now);
-  this->fetcher.RecordPeerVersion(aReport.peer, aReport.configurationVersion, this->now);
+}
+
+// Each report is complete, so a lost one, or one that arrives after a newer one, does no lasting
+// harm.
+void
+ForwardReducer::Impl::OnEvent(const DomainLoadReport& aReport)
+{
+  if (!this->group.IsOtherDomain(aReport.domain)) {
+    this->Count("forward_peer_reports_ignored", "domain");
+    return;
+  }
+  if (!aReport.isRelayed && !this->group.Neighbours().empty()) {
+    SendDomainLoad relayed{ aReport, this->group.Neighbours() };
+    relayed.report.isRelayed = true;
+    this->effects.emplace_back(std::move(relayed));
+  }
+  const std::string peer = kDomainPrefix + aReport.domain;
+  this->loadTracker.RemovePeer(peer);
+  this->loadTracker.ApplyReport(peer, aReport.loads, this->now);
+  const std::size_t entries =
+    std::min<std::size_t>(aReport.entries, this->group.CountOf(aReport.domain));
+  this->domains[aReport.domain] = { entries, this->now };
+  this->fetcher.RecordPeerVersion(aReport.reporter, aReport.configurationVersion, this->now);
 }
 
 void
@@ -116,8 +173,46 @@
 ForwardReducer::Impl::ScheduleBroadcast()
 {
   if (this->loadTracker.HasChanges() && this->broadcastAt == Instant::max()) {
-    this->broadcastAt = this->now + kBroadcastDelay;
+    this->broadcastAt = this->now + this->BroadcastDelay();
+  }
+}
+
+// With many recipients more changes share a message, so that the messages of an entry are limited.
+Duration
+ForwardReducer::Impl::BroadcastDelay() const
+{
+  const auto peerCount = static_cast<std::int64_t>(this->group.DirectPeers().size());
+  return std::clamp(kBroadcastDelayPerPeer * peerCount, kMinBroadcastDelay, kMaxBroadcastDelay);
+}
+
+// Sends the load of this entry's failure domain to one entry of each other domain, if this entry is
+// one of the reporters of its domain.
+void
+ForwardReducer::Impl::ReportDomainLoad()
+{
+  const auto isLive = [this](const std::string& aAddress) {
+    const auto peer = this->peers.find(aAddress);
+    return peer != this->peers.end() && peer->second.lastReceivedAt + kReporterTimeout > this->now;
+  };
+  const std::vector<std::string> relays = this->group.TakeRelays();
+  if (relays.empty() || this->group.Rank(isLive) >= kDomainReporters) {
+    return;
+  }
+  DomainLoadReport report;
+  report.domain = this->config.domain;
+  report.reporter = this->config.address;
+  report.configurationVersion = this->table ? this->table->version : 0;
+  const auto& neighbours = this->group.Neighbours();
+  report.entries =
+    1 + static_cast<std::uint32_t>(std::count_if(neighbours.begin(), neighbours.end(), isLive));
+  report.loads = this->loadTracker.SnapshotOf(
+    [this](const std::string& aPeer) { return this->group.IsNeighbour(aPeer); }, this->now);
+  for (TargetLoadReport& load : report.loads) {
+    // Whole numbers are shorter on the wire.
+    load.prefillMs = std::round(load.prefillMs);
+    load.pendingPrefillMs = std::round(load.pendingPrefillMs);
   }
+  this->effects.emplace_back(SendDomainLoad{ std::move(report), relays });
 }
 
 void
@@ -138,7 +233,12 @@
   }
   if (this->now >= this->broadcastAt) {
     this->broadcastAt = Instant::max();
-    this->effects.emplace_back(BroadcastLoad{ this->loadTracker.TakeChanges(this->now), false });
+    this->effects.emplace_back(
+      BroadcastLoad{ this->loadTracker.TakeChanges(this->now), false, this->group.DirectPeers() });
+  }
+  if (this->now >= this->domainReportAt) {
+    this->domainReportAt = this->now + kDomainReportInterval * kDomainReporters;
+    this->ReportDomainLoad();
   }
 }
 
@@ -152,6 +252,13 @@
     }
     return unresponsive;
   });
+  std::erase_if(this->domains, [this](const auto& aDomain) {
+    const bool unresponsive = aDomain.second.lastReceivedAt + kPeerTimeout < this->now;
+    if (unresponsive) {
+      this->loadTracker.RemovePeer(kDomainPrefix + aDomain.first);
+    }
+    return unresponsive;
+  });
 }
 
 void
@@ -242,7 +349,11 @@
 std::size_t
 ForwardReducer::Impl::EntryCount() const
 {
-  return std::max(kMinAssumedEntries, this->peers.size() + 1);
+  std::size_t count = this->peers.size() + 1;
+  for (const auto& [name, domain] : this->domains) {
+    count += domain.entries;
+  }
+  return std::max(kMinAssumedEntries, count);
 }
 
 // A request whose attempts are aborted at every target may be what crashes them.
@@ -323,7 +434,8 @@
 std::optional<Instant>
 ForwardReducer::Impl::NextWake() const
 {
-  Instant next = std::min({ this->housekeepingAt, this->broadcastAt, this->fetcher.NextDue() });
+  Instant next = std::min(
+    { this->housekeepingAt, this->broadcastAt, this->domainReportAt, this->fetcher.NextDue() });
   if (!this->timers.empty()) {
     next = std::min(next, this->timers.begin()->first);
   }
@@ -367,6 +479,10 @@
   for (const auto& [name, peer] : this->peers) {
     dump["peers"][name] = { { "heard_ms_ago", ToMillis(aNow - peer.lastReceivedAt) } };
   }
+  for (const auto& [name, domain] : this->domains) {
+    dump["domains"][name] = { { "heard_ms_ago", ToMillis(aNow - domain.lastReceivedAt) },
+                              { "entries", domain.entries } };
+  }
   for (const auto& [service, budget] : this->budgets) {
     dump["retry_budget"][service] = budget.Level();
   }
--- a/src/core/forward/LoadTracker.cpp
+++ b/src/core/forward/LoadTracker.cpp
@@ -21,6 +21,15 @@
 // The fraction of overdue prefill that still counts as remaining: on average half of it is done.
 constexpr double kPendingPrefillShare = 0.5;
 
+// Longer than any prefill, in milliseconds.
+constexpr double kMaxPrefillMs = 1e7;
+
+bool
+IsPrefillTime(double aMs)
+{
+  return aMs >= 0 && aMs <= kMaxPrefillMs; // False for what is no number.
+}
+
 TargetLoadReport
 ReportOf(const std::string& aInstance, const TargetLoad& aLoad, Instant aNow)
 {
@@ -84,20 +93,56 @@
                          const std::vector<TargetLoadReport>& aReports,
                          Instant aNow)
 {
-  LoadByInstance& loads = this->peerLoads[aPeer];
+  const auto [number, isNew] = this->peerNumbers.try_emplace(aPeer, this->lastPeerNumber + 1);
+  this->lastPeerNumber += isNew ? 1 : 0;
   for (const TargetLoadReport& report : aReports) {
-    if (report.running == 0 && report.kvTokens == 0 && report.pendingPrefillMs <= 0) {
-      loads.erase(report.instance);
-    } else {
-      loads[report.instance] = { report.running,
-                                 report.strictStreams,
-                                 report.kvTokens,
-                                 aNow + FromMs(report.prefillMs),
-                                 report.pendingPrefillMs };
+    if (IsPrefillTime(report.prefillMs) && IsPrefillTime(report.pendingPrefillMs)) {
+      this->SetPeerLoad(number->second, report, aNow);
     }
   }
 }
 
+void
+LoadTracker::SetPeerLoad(std::uint32_t aPeer, const TargetLoadReport& aReport, Instant aNow)
+{
+  const bool isIdle =
+    aReport.running == 0 && aReport.kvTokens == 0 && aReport.pendingPrefillMs <= 0;
+  const auto known = this->peerLoads.find(aReport.instance);
+  if (known == this->peerLoads.end() && isIdle) {
+    return;
+  }
+  std::vector<PeerLoad>& loads =
+    known == this->peerLoads.end() ? this->peerLoads[aReport.instance] : known->second;
+  auto load = std::find_if(
+    loads.begin(), loads.end(), [aPeer](const PeerLoad& aLoad) { return aLoad.peer == aPeer; });
+  if (load == loads.end()) {
+    load = loads.insert(loads.end(), { aPeer, {} });
+  }
+  if (isIdle) {
+    *load = loads.back();
+    loads.pop_back();
+    return;
+  }
+  load->load = { aReport.running,
+                 aReport.strictStreams,
+                 aReport.kvTokens,
+                 aNow + FromMs(aReport.prefillMs),
+                 aReport.pendingPrefillMs };
+}
+
+void
+LoadTracker::RemovePeer(const std::string& aPeer)
+{
+  const auto number = this->peerNumbers.find(aPeer);
+  if (number == this->peerNumbers.end()) {
+    return;
+  }
+  for (auto& [instance, loads] : this->peerLoads) {
+    std::erase_if(loads, [&](const PeerLoad& aLoad) { return aLoad.peer == number->second; });
+  }
+  this->peerNumbers.erase(number);
+}
+
 std::vector<TargetLoadReport>
 LoadTracker::TakeChanges(Instant aNow)
 {
@@ -123,24 +168,64 @@
   return reports;
 }
 
+std::vector<TargetLoadReport>
+LoadTracker::SnapshotOf(const std::function<bool(const std::string& aPeer)>& aIncludes,
+                        Instant aNow) const
+{
+  std::set<std::uint32_t> included;
+  for (const auto& [peer, number] : this->peerNumbers) {
+    if (aIncludes(peer)) {
+      included.insert(number);
+    }
+  }
+  std::map<std::string, TargetLoadReport> sums;
+  const auto add = [&](const std::string& aInstance, const TargetLoad& aLoad) {
+    TargetLoadReport& sum = sums[aInstance];
+    sum.instance = aInstance;
+    sum.running += aLoad.running;
+    sum.strictStreams += aLoad.strictStreams;
+    sum.kvTokens += aLoad.kvTokens;
+    sum.prefillMs += aLoad.PrefillMs(aNow);
+    sum.pendingPrefillMs += aLoad.pendingPrefillMs;
+  };
+  for (const auto& [instance, load] : this->ownLoads) {
+    add(instance, load);
+  }
+  for (const auto& [instance, loads] : this->peerLoads) {
+    for (const PeerLoad& load : loads) {
+      if (included.contains(load.peer)) {
+        add(instance, load.load);
+      }
+    }
+  }
+  std::vector<TargetLoadReport> reports;
+  for (auto& [instance, sum] : sums) {
+    reports.push_back(std::move(sum));
+  }
+  return reports;
+}
+
 TargetLoad
 LoadTracker::LoadOf(const std::string& aInstance, Instant aNow) const
 {
   TargetLoad sum;
   double prefillMs = 0;
-  const auto add = [&](const LoadByInstance& aLoads) {
-    const auto found = aLoads.find(aInstance);
-    if (found != aLoads.end()) {
-      sum.running += found->second.running;
-      sum.strictStreams += found->second.strictStreams;
-      sum.pendingPrefillMs += found->second.pendingPrefillMs;
-      sum.kvTokens += found->second.kvTokens;
-      prefillMs += found->second.PrefillMs(aNow);
-    }
+  const auto add = [&](const TargetLoad& aLoad) {
+    sum.running += aLoad.running;
+    sum.strictStreams += aLoad.strictStreams;
+    sum.pendingPrefillMs += aLoad.pendingPrefillMs;
+    sum.kvTokens += aLoad.kvTokens;
+    prefillMs += aLoad.PrefillMs(aNow);
   };
-  add(this->ownLoads);
-  for (const auto& [name, loads] : this->peerLoads) {
-    add(loads);
+  const auto own = this->ownLoads.find(aInstance);
+  if (own != this->ownLoads.end()) {
+    add(own->second);
+  }
+  const auto peers = this->peerLoads.find(aInstance);
+  if (peers != this->peerLoads.end()) {
+    for (const PeerLoad& load : peers->second) {
+      add(load.load);
+    }
   }
   sum.prefillUntil = aNow + FromMs(prefillMs);
   return sum;
@@ -208,9 +293,7 @@
   this->ownLoads.erase(aInstance);
   this->health.erase(aInstance);
   this->changedInstances.erase(aInstance);
-  for (auto& [name, loads] : this->peerLoads) {
-    loads.erase(aInstance);
-  }
+  this->peerLoads.erase(aInstance);
 }
 
 } // namespace sycamorepost
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -361,7 +361,10 @@
   }
   SortByCost(aCandidates, aRandom);
   if (isShort) {
-    SpreadChoice(aRequest.unreportedPrompts, aCandidates, aRandom);
+    const bool isLocal = aCandidates.front().target->domain == aRequest.domain;
+    SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
+                 aCandidates,
+                 aRandom);
   } else {
     MoveDecoderFirst(aCandidates, traits);
   }
--- a/src/net/PeerBus.cpp
+++ b/src/net/PeerBus.cpp
@@ -286,26 +286,46 @@
   return *connection;
 }
 
-void
-PeerBus::Send(const std::string& aTo,
-              std::uint64_t aToIncarnation,
-              Message aMessage,
-              const SharedBody& aBody)
+std::string
+PeerBus::Encode(std::uint64_t aToIncarnation, Message aMessage) const
 {
-  const std::size_t type = aMessage.index();
   Envelope envelope;
   envelope.from = this->address;
   envelope.fromIncarnation = this->incarnation;
   envelope.toIncarnation = aToIncarnation;
   envelope.message = std::move(aMessage);
-  const std::string header = EncodeHeader(envelope);
-  TrafficCount& count = this->traffic.at(type);
+  return EncodeHeader(envelope);
+}
+
+void
+PeerBus::Send(const std::string& aTo,
+              std::uint64_t aToIncarnation,
+              Message aMessage,
+              const SharedBody& aBody)
+{
+  TrafficCount& count = this->traffic.at(aMessage.index());
+  const std::string header = this->Encode(aToIncarnation, std::move(aMessage));
   ++count.messages;
   count.headerBytes += header.size();
   count.bodyBytes += aBody ? aBody->size() : 0;
   this->FindConnection(aTo).Enqueue(MakeFrame(header, aBody));
 }
 
+void
+PeerBus::SendToAll(const std::vector<std::string>& aPeers, Message aMessage)
+{
+  if (aPeers.empty()) {
+    return;
+  }
+  TrafficCount& count = this->traffic.at(aMessage.index());
+  const std::string header = this->Encode(0, std::move(aMessage));
+  count.messages += aPeers.size();
+  count.headerBytes += aPeers.size() * header.size();
+  for (const std::string& peer : aPeers) {
+    this->FindConnection(peer).Enqueue(MakeFrame(header, nullptr));
+  }
+}
+
 void
 PeerBus::Reconnect(const std::string& aPeer)
 {
--- a/src/net/PeerBus.h
+++ b/src/net/PeerBus.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -53,6 +54,9 @@
             Message aMessage,
             const SharedBody& aBody);
 
+  // Queues the same message, without a body, for several peers.
+  void SendToAll(const std::vector<std::string>& aPeers, Message aMessage);
+
   // Closes the connection to a peer and dials again. Queued messages are kept.
   void Reconnect(const std::string& aPeer);
 
@@ -73,6 +77,7 @@
   class PeerConnection;
   class Listener;
 
+  std::string Encode(std::uint64_t aToIncarnation, Message aMessage) const;
   PeerConnection& FindConnection(const std::string& aPeer);
 
   boost::asio::io_context& context;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -54,6 +54,7 @@
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
   , reducer(ForwardConfig{ .name = this->settings.name,
+                           .address = this->settings.peerAddress,
                            .domain = this->settings.domain,
                            .seed = this->incarnation,
                            .retryRatio = this->settings.retryRatio,
@@ -66,23 +67,25 @@
       this->incarnation,
       [this](const Envelope& aEnvelope) { this->OnMessage(aEnvelope); },
       [](const std::string& /*aPeer*/) {}) // Ignored: the next message carries the same state.
-  , follower(
-      this->context,
-      { this->settings.storeAddress,
-        this->settings.name,
-        this->settings.peerAddress,
-        this->settings.targetDrainTimeout,
-        this->settings.changeBound },
-      { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
-         this->OnRoutes(aTable, aText);
-       },
-        [this](const std::map<std::string, RegisteredTarget>& aTargets) {
-          LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
-          this->Step(TargetsChanged{ aTargets });
-        },
-        [this](const std::map<std::string, std::string>& aEntries) { this->OnEntries(aEntries); },
-        [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); } },
-      this->incarnation)
+  , follower(this->context,
+             { this->settings.storeAddress,
+               this->settings.name,
+               this->settings.peerAddress,
+               this->settings.domain,
+               this->settings.targetDrainTimeout,
+               this->settings.changeBound },
+             { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
+                this->OnRoutes(aTable, aText);
+              },
+               [this](const std::map<std::string, RegisteredTarget>& aTargets) {
+                 LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
+                 this->Step(TargetsChanged{ aTargets });
+               },
+               [this](const std::map<std::string, RegisteredEntry>& aEntries) {
+                 this->OnEntries(aEntries);
+               },
+               [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); } },
+             this->incarnation)
   , server(this->context,
            MakeLimits(this->settings, CallerLimits{}),
            [this](HttpRequest aRequest, HttpExchange& aExchange) {
@@ -204,19 +207,26 @@
   load.reports = std::move(aBroadcast.loads);
   load.isSnapshot = aBroadcast.isSnapshot;
   load.version = this->follower.ConfigurationVersion();
-  this->SendToPeers(load);
+  this->bus.SendToAll(aBroadcast.recipients, std::move(load));
+}
+
+void
+ForwardDaemon::Execute(SendDomainLoad& aSend)
+{
+  this->bus.SendToAll(aSend.recipients, std::move(aSend.report));
 }
 
 void
 ForwardDaemon::Execute(BroadcastAbort& aBroadcast)
 {
-  this->SendToPeers(AbortNotice{ aBroadcast.fingerprint });
+  this->bus.SendToAll(this->peers, AbortNotice{ aBroadcast.fingerprint });
 }
 
 void
 ForwardDaemon::Execute(BroadcastLeaving& aBroadcast)
 {
-  this->SendToPeers(TargetLeavingNotice{ aBroadcast.instance, aBroadcast.startedAtMs });
+  this->bus.SendToAll(this->peers,
+                      TargetLeavingNotice{ aBroadcast.instance, aBroadcast.startedAtMs });
 }
 
 void
@@ -247,6 +257,8 @@
   if (const auto* load = std::get_if<EntryLoad>(&aEnvelope.message)) {
     this->Step(PeerLoadReport{
       aEnvelope.from, aEnvelope.fromIncarnation, load->reports, load->isSnapshot, load->version });
+  } else if (const auto* domainLoad = std::get_if<DomainLoadReport>(&aEnvelope.message)) {
+    this->Step(*domainLoad);
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
     this->Step(PeerAbortReport{ notice->fingerprint });
   } else if (const auto* leaving = std::get_if<TargetLeavingNotice>(&aEnvelope.message)) {
@@ -278,21 +290,16 @@
 }
 
 void
-ForwardDaemon::OnEntries(const std::map<std::string, std::string>& aEntries)
+ForwardDaemon::OnEntries(const std::map<std::string, RegisteredEntry>& aEntries)
 {
-  this->peers = aEntries;
-  this->peers.erase(this->settings.name);
-  LOG(INFO) << "[forward] " << this->peers.size() << " other entries are registered";
-}
-
-void
-ForwardDaemon::SendToPeers(const Message& aMessage)
-{
-  for (const auto& [name, address] : this->peers) {
-    if (address != this->settings.peerAddress) {
-      this->bus.Send(address, 0, aMessage, nullptr);
+  this->peers.clear();
+  for (const auto& [name, entry] : aEntries) {
+    if (name != this->settings.name && entry.address != this->settings.peerAddress) {
+      this->peers.push_back(entry.address);
     }
   }
+  LOG(INFO) << "[forward] " << this->peers.size() << " other entries are registered";
+  this->Step(EntriesChanged{ aEntries });
 }
 
 void
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -62,6 +62,7 @@
   void Execute(SendResponse& aResponse);
   void Execute(SendReservationCommand& aCommand);
   void Execute(BroadcastLoad& aBroadcast);
+  void Execute(SendDomainLoad& aSend);
   void Execute(BroadcastAbort& aBroadcast);
   void Execute(BroadcastLeaving& aBroadcast);
   void Execute(RequestConfiguration& aRequest);
@@ -82,8 +83,7 @@
   void OnMessage(const Envelope& aEnvelope);
   void SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion);
   void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
-  void OnEntries(const std::map<std::string, std::string>& aEntries);
-  void SendToPeers(const Message& aMessage);
+  void OnEntries(const std::map<std::string, RegisteredEntry>& aEntries);
   void WaitForSignal();
   void Reload();
   asio::awaitable<void> Drain();
@@ -111,7 +111,7 @@
   std::uint64_t lastHandle = 0;
   std::map<std::uint64_t, std::shared_ptr<Session>> sessions;    // By handle.
   std::map<std::uint64_t, std::shared_ptr<HttpStream>> attempts; // By attempt ID.
-  std::map<std::string, std::string> peers;                      // Addresses by entry name.
+  std::vector<std::string> peers;                                // Addresses of all others.
   std::shared_ptr<const RouteTable> table;
   std::string configuration; // The text in force, sent to peers that cannot reach the store.
 };
--- /dev/null
+++ b/test/CoordinationTest.cpp
@@ -0,0 +1,301 @@
+// Unit tests of what entries tell each other: EntryGroup, the load reports of other failure
+// domains, LoadTracker's sums, the retry budget of many entries, and the decoder of the messages.
+#include <cmath>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include "sycamorepost/Message.h"
+#include "sycamorepost/forward/ForwardReducer.h"
+
+namespace sycamorepost {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kDomains[] = { "burnie", "hobart", "huon" };
+
+std::string
+AddressOf(int aEntry)
+{
+  return "10.0.0." + std::to_string(aEntry) + ":7000";
+}
+
+// Entries 0, 3, 6 ... are in burnie, 1, 4, 7 ... in hobart, 2, 5, 8 ... in huon.
+std::map<std::string, RegisteredEntry>
+MakeEntries(int aCount)
+{
+  std::map<std::string, RegisteredEntry> entries;
+  for (int i = 0; i < aCount; ++i) {
+    entries["entry-" + std::to_string(i)] = { AddressOf(i), kDomains[i % 3] };
+  }
+  return entries;
+}
+
+// A reducer whose broadcasts and reports are kept.
+class EntryDriver
+{
+public:
+  explicit EntryDriver(int aEntry, int aCount = 9)
+    : reducer(ForwardConfig{ .name = "entry-" + std::to_string(aEntry),
+                             .address = AddressOf(aEntry),
+                             .domain = kDomains[aEntry % 3] })
+  {
+    this->Step(EntriesChanged{ MakeEntries(aCount) });
+  }
+
+  void Step(const ForwardEvent& aEvent)
+  {
+    for (const ForwardEffect& effect : this->reducer.Step(aEvent, this->now)) {
+      if (const auto* broadcast = std::get_if<BroadcastLoad>(&effect)) {
+        this->broadcasts.push_back(*broadcast);
+      } else if (const auto* report = std::get_if<SendDomainLoad>(&effect)) {
+        this->reports.push_back(*report);
+      }
+    }
+  }
+
+  void AdvanceTime(Duration aDuration)
+  {
+    const Instant until = this->now + aDuration;
+    for (auto next = this->reducer.NextWake(); next && *next <= until;
+         next = this->reducer.NextWake()) {
+      this->now = std::max(this->now, *next);
+      this->Step(Wake{});
+    }
+    this->now = until;
+  }
+
+  ForwardReducer reducer;
+  Instant now{ std::chrono::hours(1) };
+  std::vector<BroadcastLoad> broadcasts;
+  std::vector<SendDomainLoad> reports;
+};
+
+class CoordinationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CoordinationTest);
+  CPPUNIT_TEST(LoadIsReportedToTheOwnDomainOnly);
+  CPPUNIT_TEST(TwoLiveEntriesReportForTheirDomain);
+  CPPUNIT_TEST(ReportsReachEveryEntryOfAnotherDomainOnce);
+  CPPUNIT_TEST(EntriesOfAnEarlierVersionAreToldDirectly);
+  CPPUNIT_TEST(ReportsOfUnknownDomainsAreIgnored);
+  CPPUNIT_TEST(InvalidNumbersOfPeersAreIgnored);
+  CPPUNIT_TEST(LoadIsTheSumOverAllPeers);
+  CPPUNIT_TEST(DecoderReturnsOnAnyBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Load pattern: many entries. Guards against messages of an entry that grow with all of them.
+  void LoadIsReportedToTheOwnDomainOnly()
+  {
+    EntryDriver driver(1, 90);
+    driver.AdvanceTime(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(driver.broadcasts.size() >= 3);
+    for (const BroadcastLoad& broadcast : driver.broadcasts) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(29), broadcast.recipients.size());
+    }
+
+    // A peer of another domain is not counted on its own: its load is in the report of its domain.
+    driver.Step(PeerLoadReport{ AddressOf(2), 1, { { "engine-1", 3, 3, 100, 0, 0 } }, true });
+    CPPUNIT_ASSERT(!driver.reducer.Dump(driver.now).contains("peers"));
+
+    // Guards against the square of the entries at a common start: a new peer is told, not all.
+    driver.broadcasts.clear();
+    for (int peer = 4; peer < 90; peer += 3) {
+      driver.Step(PeerLoadReport{ AddressOf(peer), 1, {}, false });
+    }
+    std::size_t messages = 0;
+    for (const BroadcastLoad& broadcast : driver.broadcasts) {
+      messages += broadcast.recipients.size();
+    }
+    CPPUNIT_ASSERT(messages <= 29);
+  }
+
+  // Guards against a domain of which nothing is known because its only reporter is lost.
+  void TwoLiveEntriesReportForTheirDomain()
+  {
+    static constexpr int kCount = 30;
+    const auto countReporters = [](int aLost) {
+      int reporters = 0;
+      for (int entry = 1; entry < kCount; entry += 3) {
+        EntryDriver driver(entry, kCount);
+        for (int second = 0; second < 5; ++second) {
+          for (int peer = 1; peer < kCount; peer += 3) {
+            if (peer != entry && peer != aLost) {
+              driver.Step(PeerLoadReport{ AddressOf(peer), 1, {}, false });
+            }
+          }
+          driver.AdvanceTime(std::chrono::seconds(1));
+        }
+        driver.reports.clear();
+        driver.AdvanceTime(std::chrono::seconds(1));
+        reporters += driver.reports.empty() || entry == aLost ? 0 : 1;
+        for (const SendDomainLoad& report : driver.reports) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t(2), report.recipients.size());
+          CPPUNIT_ASSERT_EQUAL(std::string("hobart"), report.report.domain);
+        }
+      }
+      return reporters;
+    };
+    CPPUNIT_ASSERT_EQUAL(2, countReporters(-1));
+    for (int lost = 1; lost < kCount; lost += 3) {
+      CPPUNIT_ASSERT_EQUAL(2, countReporters(lost));
+    }
+  }
+
+  void ReportsReachEveryEntryOfAnotherDomainOnce()
+  {
+    EntryDriver driver(0);
+    DomainLoadReport report;
+    report.domain = "hobart";
+    report.reporter = AddressOf(1);
+    report.entries = 3;
+    report.loads = { { "engine-1", 2, 2, 500, 0, 0 } };
+    driver.Step(TargetsChanged{ { { "engine-1", { .instance = "engine-1" } } } });
+    driver.Step(report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.reports.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.reports.front().recipients.size());
+    CPPUNIT_ASSERT(driver.reports.front().report.isRelayed);
+    const auto running = [&] {
+      const auto dump = driver.reducer.Dump(driver.now);
+      return dump["targets"]["engine-1"]["running"].get<int>();
+    };
+    CPPUNIT_ASSERT_EQUAL(2, running());
+
+    // Another report of the domain replaces the first, and a relayed one is not relayed again.
+    driver.Step(driver.reports.front().report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.reports.size());
+    CPPUNIT_ASSERT_EQUAL(2, running());
+    report.loads.clear();
+    driver.Step(report);
+    CPPUNIT_ASSERT_EQUAL(0, running());
+
+    // A domain that is not heard of any more has no load.
+    report.loads = { { "engine-1", 2, 2, 500, 0, 0 } };
+    driver.Step(report);
+    driver.AdvanceTime(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(0, running());
+  }
+
+  // Guards against a rolling restart in which entries of two versions do not know each other's
+  // load.
+  void EntriesOfAnEarlierVersionAreToldDirectly()
+  {
+    EntryDriver driver(0);
+    auto entries = MakeEntries(9);
+    entries["entry-1"].domain.clear();
+    driver.Step(EntriesChanged{ entries });
+    driver.AdvanceTime(std::chrono::seconds(2));
+    const auto& recipients = driver.broadcasts.back().recipients;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), recipients.size());
+    CPPUNIT_ASSERT(std::find(recipients.begin(), recipients.end(), AddressOf(1)) !=
+                   recipients.end());
+  }
+
+  void ReportsOfUnknownDomainsAreIgnored()
+  {
+    EntryDriver driver(0);
+    driver.Step(TargetsChanged{ { { "engine-1", { .instance = "engine-1" } } } });
+    for (const char* domain : { "", "burnie", "nowhere" }) {
+      DomainLoadReport report;
+      report.domain = domain;
+      report.loads = { { "engine-1", 2, 2, 500, 0, 0 } };
+      driver.Step(report);
+    }
+    CPPUNIT_ASSERT(driver.reports.empty());
+    CPPUNIT_ASSERT(!driver.reducer.Dump(driver.now).contains("domains"));
+  }
+
+  // Guards against a faulty peer that takes the retries of the others, or the targets out of use.
+  void InvalidNumbersOfPeersAreIgnored()
+  {
+    EntryDriver driver(0);
+    driver.Step(TargetsChanged{ { { "engine-1", { .instance = "engine-1" } } } });
+    DomainLoadReport report;
+    report.domain = "hobart";
+    report.entries = 4'000'000'000;
+    for (const double invalid : { -1.0, 1e300, std::nan(""), HUGE_VAL }) {
+      report.loads.push_back({ "engine-1", 9, 0, 0, invalid, 0 });
+      report.loads.push_back({ "engine-1", 9, 0, 0, 0, invalid });
+    }
+    driver.Step(report);
+    const auto dump = driver.reducer.Dump(driver.now);
+    CPPUNIT_ASSERT_EQUAL(0, dump["targets"]["engine-1"]["running"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(3, dump["domains"]["hobart"]["entries"].get<int>());
+  }
+
+  void LoadIsTheSumOverAllPeers()
+  {
+    rc::check("the load of a target is the sum of the last reports", [] {
+      LoadTracker tracker;
+      const Instant now{ std::chrono::hours(1) };
+      std::map<std::pair<int, int>, std::uint32_t> last; // By peer and target.
+      const int steps = *rc::gen::inRange(0, 60);
+      for (int i = 0; i < steps; ++i) {
+        const int peer = *rc::gen::inRange(0, 4);
+        const int target = *rc::gen::inRange(0, 3);
+        const auto running = *rc::gen::inRange<std::uint32_t>(0, 3);
+        if (*rc::gen::inRange(0, 8) == 0) {
+          tracker.RemovePeer(std::to_string(peer));
+          std::erase_if(last, [&](const auto& aItem) { return aItem.first.first == peer; });
+        } else {
+          TargetLoadReport report{ std::to_string(target), running, 0, running * 10, 0, 0 };
+          tracker.ApplyReport(std::to_string(peer), { report }, now);
+          last[{ peer, target }] = running;
+        }
+      }
+      for (int target = 0; target < 3; ++target) {
+        std::uint32_t all = 0;
+        std::uint32_t ofPeer1 = 0;
+        for (const auto& [key, running] : last) {
+          all += key.second == target ? running : 0;
+          ofPeer1 += key == std::pair(1, target) ? running : 0;
+        }
+        RC_ASSERT(tracker.LoadOf(std::to_string(target), now).running == all);
+        RC_ASSERT(tracker.LoadOf(std::to_string(target), now).kvTokens == all * 10);
+        const auto isPeer1 = [](const std::string& aPeer) { return aPeer == "1"; };
+        std::uint32_t reported = 0;
+        for (const TargetLoadReport& report : tracker.SnapshotOf(isPeer1, now)) {
+          reported += report.instance == std::to_string(target) ? report.running : 0;
+        }
+        RC_ASSERT(reported == ofPeer1);
+      }
+    });
+  }
+
+  void DecoderReturnsOnAnyBytes()
+  {
+    DomainLoadReport report;
+    report.domain = "hobart";
+    report.reporter = AddressOf(1);
+    report.loads = { { "engine-1", 2, 2, 500, 12, 34 } };
+    for (const Message& message :
+         { Message(report), Message(TargetLeavingNotice{ "engine-1", 7 }) }) {
+      Envelope envelope;
+      envelope.from = AddressOf(1);
+      envelope.message = message;
+      const std::string header = EncodeHeader(envelope);
+      std::string reason;
+      const auto decoded = DecodeHeader(header, reason);
+      CPPUNIT_ASSERT_MESSAGE(reason, decoded && decoded->message.index() == message.index());
+      rc::check("corrupted messages are decoded or refused", [&] {
+        std::string corrupted = header;
+        const int changes = *rc::gen::inRange(1, 4);
+        for (int i = 0; i < changes; ++i) {
+          const auto at = *rc::gen::inRange<std::size_t>(0, corrupted.size());
+          corrupted[at] = *rc::gen::arbitrary<char>();
+        }
+        corrupted.resize(*rc::gen::inRange<std::size_t>(0, corrupted.size() + 1));
+        std::string why;
+        RC_ASSERT(DecodeHeader(corrupted, why) || !why.empty());
+      });
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoordinationTest);
+
+} // namespace
+} // namespace sycamorepost
--- a/test/standins/registered.cpp
+++ b/test/standins/registered.cpp
@@ -84,9 +84,9 @@
                                          { "ColdRemainingMs", 0 },
                                          { "Seq", sequence },
                                          { "born", this->startedAtUnixMs } };
-      const platform::StoreRecord record{ FLAGS_name, registration.dump() };
+      std::vector<platform::StoreRecord> records{ { FLAGS_name, registration.dump() } };
       // A failed append is retried at the next heartbeat.
-      co_await this->store.Append("keyed.servers", record);
+      co_await this->store.Append("keyed.servers", std::move(records));
       co_await Sleep(this->context, kHeartbeatInterval);
     }
   }
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -30,6 +30,16 @@
   return bytes;
 }
 
+std::uint64_t
+DecodeBigEndian(std::string_view aBytes)
+{
+  std::uint64_t number = 0;
+  for (const char byte : aBytes) {
+    number = (number << kBitsPerByte) | static_cast<unsigned char>(byte);
+  }
+  return number;
+}
+
 std::string
 EncodeBase64(const std::string& aBytes)
 {
@@ -149,14 +159,16 @@
   {
     static constexpr std::size_t kLengthBytes = 4;
     const std::uint64_t offset = aTopic.records.size();
-    if (aRequest.body->size() > kLengthBytes) {
-      // Each call appends exactly one record.
-      const std::string record = aRequest.body->substr(kLengthBytes);
+    std::string_view rest = *aRequest.body;
+    while (rest.size() > kLengthBytes) {
+      const std::size_t length = DecodeBigEndian(rest.substr(0, kLengthBytes));
+      const std::string record(rest.substr(kLengthBytes, length));
+      rest.remove_prefix(std::min(rest.size(), kLengthBytes + length));
       const auto [key, value] = SplitRecord(record);
       if (value.empty()) {
         aTopic.newestOffsets.erase(key);
       } else {
-        aTopic.newestOffsets[key] = offset;
+        aTopic.newestOffsets[key] = aTopic.records.size();
       }
       aTopic.records.push_back(record);
       aTopic.changed.cancel();
