Spend shares of the retry budget that are below one retry by chance

Cause: the slack is divided by the entries. With 330 of them the share of one is 0.42 retries, and a retry was allowed only with a whole one, so no entry could ever retry. Change: with a share below one, a retry is allowed with that probability and takes what is left. A silent target is given up only once its retry is granted. Before: 330 entries make 0 retries for 330 requests that fail at once; after: more than a third of the slack, and never more than the budget.

--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -285,7 +285,11 @@
 bool
 ForwardReducer::Impl::TrySpendRetry(RequestState& aState)
 {
-  const bool spent = this->BudgetOf(aState.service).TrySpend();
+  if (std::exchange(aState.hasRetry, false)) {
+    return true;
+  }
+  const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
+  const bool spent = this->BudgetOf(aState.service).TrySpend(draw);
   this->Count("forward_retries", spent ? "made" : "no_budget");
   if (!spent) {
     this->Log(aState, "no-retry", { { "reason", "the retry budget is spent" } }, true);
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -77,6 +77,7 @@
   std::uint32_t reachedAttempts = 0;     // Attempts that reached a target.
   std::uint32_t unreachableAttempts = 0; // Attempts without a connection.
   std::uint32_t placements = 0;
+  bool hasRetry = false; // A retry is spent already.
   bool headSent = false;
   std::optional<std::uint64_t> lastEventId; // The last event that the caller has.
   Instant lastEventAt;                      // When it was passed on.
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -272,12 +272,13 @@
       return aTarget.second.service == aState.service && aTarget.first != instance &&
              this->IsUsable(aTarget.first) && !aState.triedInstances.contains(aTarget.first);
     });
-  if (!hasAlternative || !this->MayRetry(aState) || this->BudgetOf(aState.service).Level() < 1) {
+  if (!hasAlternative || !this->MayRetry(aState) || !this->TrySpendRetry(aState)) {
     this->loadTracker.RecordFailure(instance, this->now);
     this->Log(aState, "silent", { { "target", instance } }, true);
     this->SetWake(aState);
     return;
   }
+  aState.hasRetry = true;
   this->FailAttempt(aState, "the target was silent", true);
 }
 
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -1,6 +1,7 @@
 // Unit tests of what entries tell each other: EntryGroup, the load reports of other failure
 // domains, LoadTracker's sums, the retry budget of many entries, and the decoder of the messages.
 #include <cmath>
+#include <random>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -8,6 +9,7 @@
 
 #include "sycamorepost/Message.h"
 #include "sycamorepost/forward/ForwardReducer.h"
+#include "sycamorepost/forward/RetryBudget.h"
 
 namespace sycamorepost {
 namespace {
@@ -83,6 +85,7 @@
   CPPUNIT_TEST(ReportsOfUnknownDomainsAreIgnored);
   CPPUNIT_TEST(InvalidNumbersOfPeersAreIgnored);
   CPPUNIT_TEST(LoadIsTheSumOverAllPeers);
+  CPPUNIT_TEST(BudgetBelowOneRetryIsSpentByChance);
   CPPUNIT_TEST(DecoderReturnsOnAnyBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +268,35 @@
     });
   }
 
+  // Load pattern: hundreds of entries and a loss of engines. Guards against a budget that nobody
+  // can spend because the share of an entry is below one retry.
+  void BudgetBelowOneRetryIsSpentByChance()
+  {
+    static constexpr int kEntries = 330;
+    static constexpr double kRatio = 0.2;
+    static constexpr double kSlack = 276;
+    std::mt19937_64 random(1);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::vector<RetryBudget> budgets(kEntries);
+    for (RetryBudget& budget : budgets) {
+      budget.Configure(kRatio, kSlack, kEntries);
+    }
+    int requests = 0;
+    int retries = 0;
+    for (int round = 0; round < 20; ++round) {
+      for (RetryBudget& budget : budgets) {
+        budget.RecordRequest();
+        ++requests;
+        retries += budget.TrySpend(draw(random)) ? 1 : 0;
+      }
+      if (round == 0) {
+        // A third of the slack at the least helps the requests that fail at once.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(retries), retries >= kSlack / 3);
+      }
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(retries), retries <= kSlack + kRatio * requests);
+    }
+  }
+
   void DecoderReturnsOnAnyBytes()
   {
     DomainLoadReport report;
