Spend by chance only where the whole share is below one retry

Cause: with a share of several retries, the rest below one was spent by chance as well, which the test of the budget's limit saw (38 retries of at most 37.7). Change: chance decides only where an entry's share never reaches one retry. After: RetryBudgetLimitsRetries and BudgetBelowOneRetryIsSpentByChance pass.

--- a/include/sycamorepost/forward/RetryBudget.h
+++ b/include/sycamorepost/forward/RetryBudget.h
@@ -28,11 +28,14 @@
   // Adds the share of one request of a caller.
   void RecordRequest() { this->level = std::min(this->maxLevel, this->level + this->ratio); }
 
-  // Spends one retry. What is left below one is spent by chance: aDraw is a random number from 0 to
-  // 1, and the retry is allowed when it is below the level. So entries whose shares are small make
-  // as many retries together as if they shared one budget.
+  // Spends one retry; returns false when that is not allowed. A share below one retry is spent by
+  // chance: aDraw is a random number from 0 to 1, and the retry is allowed when it is below the
+  // level. So many entries make as many retries together as if they shared one budget.
   bool TrySpend(double aDraw)
   {
+    if (this->level < 1 && this->maxLevel >= 1) {
+      return false;
+    }
     const bool allowed = aDraw < this->level;
     this->level = std::max(0.0, this->level - 1);
     return allowed;
