Share what one entry of a failure domain reads from the store

Cause: every entry read the configuration and the registrations by itself, and at a common start each registration woke the waiting reads of all entries, so calls to the store grew with the entries times the time, and with their square at a start. Change: the first live entry of a failure domain reads; after each read it reports to its neighbours what was current when: the version of the configuration, and the changes of the registrations over its last three reads. An entry reads by itself when what it knows has become old; each further entry a little later, so that the report of the first one that reads spares the rest. New tests: one entry reads for two; a reader that is killed or frozen delays a change by less than the bound.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/Hash.h"
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/StoreSharing.h"
 #include "sycamorepost/forward/TargetLoadReport.h"
 
 namespace sycamorepost {
@@ -292,7 +293,8 @@
 };
 
 // The message DomainLoadReport goes from an entry to one of another failure domain, which relays it
-// to the entries of its own domain.
+// to the entries of its own domain. The message StoreReport goes from an entry that has read the
+// store to the other entries of its domain.
 
 using Message = std::variant<ProbeRequest,
                              ProbeReply,
@@ -319,15 +321,16 @@
                              EntryLoad,
                              AbortNotice,
                              TargetLeavingNotice,
-                             DomainLoadReport>;
+                             DomainLoadReport,
+                             StoreReport>;
 
 // The names of the messages in the order of the variant, used as metric labels.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
-  "probe",          "probe-reply", "start",     "refused",    "chunk",      "finished",
-  "cancel",         "ping",        "pong",      "leaving",    "suspect",    "cleared",
-  "rules-ask",      "rules-tell",  "load",      "hold-ask",   "hold-reply", "hold-release",
-  "span-put",       "span-held",   "span-done", "span-moved", "entry-load", "break",
-  "target-leaving", "domain-load"
+  "probe",          "probe-reply", "start",       "refused",    "chunk",      "finished",
+  "cancel",         "ping",        "pong",        "leaving",    "suspect",    "cleared",
+  "rules-ask",      "rules-tell",  "load",        "hold-ask",   "hold-reply", "hold-release",
+  "span-put",       "span-held",   "span-done",   "span-moved", "entry-load", "break",
+  "target-leaving", "domain-load", "store-report"
 };
 
 // A message with its sender and the incarnations of both ends.
--- a/include/sycamorepost/forward/ConfigurationFetcher.h
+++ b/include/sycamorepost/forward/ConfigurationFetcher.h
@@ -37,6 +37,10 @@
   // Records whether a read of the configuration reached the store.
   void RecordStoreRead(bool aReached, Instant aNow);
 
+  // Sets whether this entry reads the store all the time. One that does not, requests a version
+  // that a peer has without waiting for the store to deliver it.
+  void SetReadsStore(bool aReadsStore) { this->readsStore = aReadsStore; }
+
   // Returns the peer to send a request to now, if one is due, and counts it as outstanding.
   std::optional<std::string> TakeDueRequest(Instant aNow);
 
@@ -53,6 +57,7 @@
   std::map<std::string, std::uint64_t> peerVersions; // By peer; only versions that are newer.
   std::string requestedPeer;                         // Empty when no request is outstanding.
   bool storeDelivers = true; // The store is expected to deliver a version that peers have.
+  bool readsStore = true;
   Instant dueAt = Instant::max();
 };
 
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -344,6 +344,12 @@
   // Returns whether a request is still in flight.
   bool HasRequest(std::uint64_t aHandle) const;
 
+  // Returns the registered entries.
+  const EntryGroup& Entries() const;
+
+  // Returns the rank of this entry among the live ones of its failure domain; see EntryGroup.
+  std::size_t DomainRank(Instant aNow) const;
+
   // Returns the number of requests in flight.
   std::size_t InFlight() const;
 
--- /dev/null
+++ b/include/sycamorepost/forward/StoreSharing.h
@@ -0,0 +1,100 @@
+// How the entries of one failure domain share what they read from the store: when an entry reads by
+// itself, and the reports of a reader to its neighbours.
+#ifndef SYCAMOREPOST_FORWARD_STORE_SHARING_H_
+#define SYCAMOREPOST_FORWARD_STORE_SHARING_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sycamorepost/Types.h"
+#include "sycamorepost/forward/TargetDirectory.h"
+
+namespace sycamorepost {
+
+// When a topic is read, as shares of the time within which a change must be known everywhere.
+struct ReadPacing
+{
+  Duration interval{};  // Between two reads of the first entry of a failure domain.
+  Duration heirDelay{}; // How much later the second entry reads when it heard nothing newer,
+  Duration heirStep{};  // and how much later than that each further one.
+};
+
+// Decides when an entry reads a topic by itself: the first entry of its failure domain does so all
+// the time, the others only when what they know has become old. So a silent reader is replaced by
+// the next entry, whose report reaches the rest before they read as well.
+class ReadSchedule
+{
+public:
+  ReadSchedule() = default;
+  explicit ReadSchedule(ReadPacing aPacing)
+    : pacing(aPacing)
+  {
+  }
+
+  // Records that the state of the topic at an instant is known, from the store or a neighbour.
+  void RecordKnown(Instant aAsOf) { this->knownAsOf = std::max(this->knownAsOf, aAsOf); }
+
+  void SetInterval(Duration aInterval) { this->pacing.interval = aInterval; }
+
+  // Returns when the entry with a rank in its failure domain reads next.
+  Instant DueAt(std::size_t aRank) const;
+
+  Instant KnownAsOf() const { return this->knownAsOf; }
+
+private:
+  ReadPacing pacing;
+  Instant knownAsOf;
+};
+
+// The targets as a reader knows them: the changes since an earlier state of the topic.
+struct RegistrationReport
+{
+  std::uint64_t fromOffset = 0; // The reader knew the records before it when the changes began.
+  std::uint64_t nextOffset = 0; // It knows the records before it now.
+  std::vector<RegisteredTarget> changed;
+  std::vector<std::string> removed; // Instances.
+};
+
+// What a reader tells its neighbours after each read of the store.
+struct StoreReport
+{
+  // Milliseconds since the reported state was current; negative when nothing is reported.
+  std::int64_t configurationAgeMs = -1;
+  std::int64_t registrationsAgeMs = -1;
+  std::uint64_t configurationVersion = 0;
+  std::uint64_t configurationOffset = 0; // The offset of the next read of the configuration.
+  RegistrationReport registrations;
+};
+
+// The last states of the directory at a reader. A report covers all of them, so that a neighbour
+// that missed one report can still apply the next.
+class RegistrationHistory
+{
+public:
+  // Records the directory after a read that ended at an offset of the topic.
+  void Record(std::uint64_t aNextOffset, const std::map<std::string, RegisteredTarget>& aTargets);
+
+  // Returns the changes since the oldest recorded state.
+  RegistrationReport MakeReport() const;
+
+private:
+  struct State
+  {
+    std::uint64_t nextOffset = 0;
+    std::map<std::string, RegisteredTarget> targets;
+  };
+
+  std::deque<State> states; // The oldest one first.
+};
+
+// Returns whether a report continues what is known up to an offset, and is not older.
+bool
+Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset);
+
+} // namespace sycamorepost
+
+#endif // SYCAMOREPOST_FORWARD_STORE_SHARING_H_
--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -45,6 +45,11 @@
   // Returns whether the set of usable targets changed.
   bool ApplyListing(const std::vector<RegisteredTarget>& aTargets, Instant aNow);
 
+  // Applies the changes that a neighbour has found in the store; returns whether the set of usable
+  // targets changed.
+  bool Adopt(const std::vector<RegisteredTarget>& aChanged,
+             const std::vector<std::string>& aRemoved);
+
   // Record each failed attempt to reach the store, and a successful one.
   void RecordStoreUnreachable(Instant aNow);
   void RecordStoreReachable();
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -152,6 +152,21 @@
                   entries,
                   isRelayed,
                   loads)
+SYCAMOREPOST_WIRE(RegisteredTarget,
+                  instance,
+                  service,
+                  address,
+                  domain,
+                  slots,
+                  draining,
+                  startedAtMs)
+SYCAMOREPOST_WIRE(RegistrationReport, fromOffset, nextOffset, changed, removed)
+SYCAMOREPOST_WIRE(StoreReport,
+                  configurationAgeMs,
+                  registrationsAgeMs,
+                  configurationVersion,
+                  configurationOffset,
+                  registrations)
 
 namespace {
 
--- a/src/core/forward/ConfigurationFetcher.cpp
+++ b/src/core/forward/ConfigurationFetcher.cpp
@@ -103,7 +103,7 @@
     return;
   }
   Duration delay = this->changeBound / kStoreGraceDivisor;
-  if (!this->storeDelivers) {
+  if (!this->storeDelivers || !this->readsStore) {
     const Duration spread = this->changeBound / kSpreadDivisor;
     delay = Duration(std::uniform_int_distribution<std::int64_t>(0, spread.count())(this->random));
   }
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -120,6 +120,8 @@
   void RequestDueConfiguration();
   std::optional<Instant> NextWake() const;
   bool Ready() const;
+  const EntryGroup& Entries() const { return this->group; }
+  std::size_t DomainRank(Instant aNow) const;
   nlohmann::json Dump(Instant aNow) const;
 
   std::vector<ForwardEffect> effects;
@@ -173,6 +175,7 @@
   // Timers, budgets, peers and logging.
   void SetWake(internal::RequestState& aState);
   RetryBudget& BudgetOf(const std::string& aService);
+  void RecordPeerVersion(const std::string& aPeer, std::uint64_t aVersion);
   std::size_t EntryCount() const;
   Duration BroadcastDelay() const;
   void ReportDomainLoad();
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -90,7 +90,7 @@
 void
 ForwardReducer::Impl::OnEvent(const PeerLoadReport& aReport)
 {
-  this->fetcher.RecordPeerVersion(aReport.peer, aReport.configurationVersion, this->now);
+  this->RecordPeerVersion(aReport.peer, aReport.configurationVersion);
   if (this->group.IsRemote(aReport.peer)) {
     return; // Its load is part of the report of its domain.
   }
@@ -131,7 +131,20 @@
   const std::size_t entries =
     std::min<std::size_t>(aReport.entries, this->group.CountOf(aReport.domain));
   this->domains[aReport.domain] = { entries, this->now };
-  this->fetcher.RecordPeerVersion(aReport.reporter, aReport.configurationVersion, this->now);
+  // The others get it from a neighbour, so that a version crosses failure domains once at the most.
+  if (this->DomainRank(this->now) == 0) {
+    this->RecordPeerVersion(aReport.reporter, aReport.configurationVersion);
+  }
+}
+
+// An entry that does not read the store all the time gets new versions from its neighbours.
+void
+ForwardReducer::Impl::RecordPeerVersion(const std::string& aPeer, std::uint64_t aVersion)
+{
+  if (this->table && aVersion > this->table->version) {
+    this->fetcher.SetReadsStore(this->DomainRank(this->now) == 0);
+  }
+  this->fetcher.RecordPeerVersion(aPeer, aVersion, this->now);
 }
 
 void
@@ -185,17 +198,22 @@
   return std::clamp(kBroadcastDelayPerPeer * peerCount, kMinBroadcastDelay, kMaxBroadcastDelay);
 }
 
+std::size_t
+ForwardReducer::Impl::DomainRank(Instant aNow) const
+{
+  return this->group.Rank([&](const std::string& aAddress) {
+    const auto peer = this->peers.find(aAddress);
+    return peer != this->peers.end() && peer->second.lastReceivedAt + kReporterTimeout > aNow;
+  });
+}
+
 // Sends the load of this entry's failure domain to one entry of each other domain, if this entry is
 // one of the reporters of its domain.
 void
 ForwardReducer::Impl::ReportDomainLoad()
 {
-  const auto isLive = [this](const std::string& aAddress) {
-    const auto peer = this->peers.find(aAddress);
-    return peer != this->peers.end() && peer->second.lastReceivedAt + kReporterTimeout > this->now;
-  };
   const std::vector<std::string> relays = this->group.TakeRelays();
-  if (relays.empty() || this->group.Rank(isLive) >= kDomainReporters) {
+  if (relays.empty() || this->DomainRank(this->now) >= kDomainReporters) {
     return;
   }
   DomainLoadReport report;
@@ -203,8 +221,10 @@
   report.reporter = this->config.address;
   report.configurationVersion = this->table ? this->table->version : 0;
   const auto& neighbours = this->group.Neighbours();
-  report.entries =
-    1 + static_cast<std::uint32_t>(std::count_if(neighbours.begin(), neighbours.end(), isLive));
+  report.entries = 1 + static_cast<std::uint32_t>(std::count_if(
+                         neighbours.begin(), neighbours.end(), [this](const auto& aPeer) {
+                           return this->peers.contains(aPeer);
+                         }));
   report.loads = this->loadTracker.SnapshotOf(
     [this](const std::string& aPeer) { return this->group.IsNeighbour(aPeer); }, this->now);
   for (TargetLoadReport& load : report.loads) {
@@ -528,6 +548,18 @@
   return this->impl->requests.contains(aHandle);
 }
 
+const EntryGroup&
+ForwardReducer::Entries() const
+{
+  return this->impl->Entries();
+}
+
+std::size_t
+ForwardReducer::DomainRank(Instant aNow) const
+{
+  return this->impl->DomainRank(aNow);
+}
+
 std::size_t
 ForwardReducer::InFlight() const
 {
--- /dev/null
+++ b/src/core/forward/StoreSharing.cpp
@@ -0,0 +1,87 @@
+#include "sycamorepost/forward/StoreSharing.h"
+
+#include <algorithm>
+
+namespace sycamorepost {
+
+namespace {
+
+// From this rank on, entries read at the same time.
+constexpr std::size_t kMaxHeirs = 5;
+
+constexpr std::size_t kMaxStates = 3;
+
+} // namespace
+
+Instant
+ReadSchedule::DueAt(std::size_t aRank) const
+{
+  Instant due = this->knownAsOf + this->pacing.interval;
+  if (aRank > 0) {
+    due += this->pacing.heirDelay +
+           this->pacing.heirStep * static_cast<std::int64_t>(std::min(aRank, kMaxHeirs) - 1);
+  }
+  return due;
+}
+
+void
+RegistrationHistory::Record(std::uint64_t aNextOffset,
+                            const std::map<std::string, RegisteredTarget>& aTargets)
+{
+  // A topic that was reset starts again.
+  if (!this->states.empty() && this->states.back().nextOffset > aNextOffset) {
+    this->states.clear();
+  }
+  this->states.push_back({ aNextOffset, aTargets });
+  if (this->states.size() > kMaxStates) {
+    this->states.pop_front();
+  }
+}
+
+RegistrationReport
+RegistrationHistory::MakeReport() const
+{
+  RegistrationReport report;
+  if (this->states.empty()) {
+    return report;
+  }
+  const State& first = this->states.front();
+  const State& last = this->states.back();
+  report.fromOffset = first.nextOffset;
+  report.nextOffset = last.nextOffset;
+  // A target that changed and changed back is listed as well: a neighbour may know the state
+  // between.
+  const auto isUnchanged = [&](const std::string& aInstance) {
+    const auto known = last.targets.find(aInstance);
+    return std::all_of(this->states.begin(), this->states.end(), [&](const State& aState) {
+      const auto found = aState.targets.find(aInstance);
+      return known == last.targets.end()
+               ? found == aState.targets.end()
+               : found != aState.targets.end() && found->second == known->second;
+    });
+  };
+  for (const auto& [instance, target] : last.targets) {
+    if (!isUnchanged(instance)) {
+      report.changed.push_back(target);
+    }
+  }
+  for (const State& state : this->states) {
+    for (const auto& [instance, target] : state.targets) {
+      if (!last.targets.contains(instance)) {
+        report.removed.push_back(instance);
+      }
+    }
+  }
+  std::sort(report.removed.begin(), report.removed.end());
+  report.removed.erase(std::unique(report.removed.begin(), report.removed.end()),
+                       report.removed.end());
+  return report;
+}
+
+bool
+Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset)
+{
+  return aReport.fromOffset <= aNextOffset && aNextOffset <= aReport.nextOffset;
+}
+
+} // namespace sycamorepost
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -50,6 +50,25 @@
   return changed;
 }
 
+// The neighbour has decided already whether a lapsed registration is kept for a while.
+bool
+TargetDirectory::Adopt(const std::vector<RegisteredTarget>& aChanged,
+                       const std::vector<std::string>& aRemoved)
+{
+  bool changed = false;
+  for (const RegisteredTarget& target : aChanged) {
+    this->lapsedExpiry.erase(target.instance);
+    const auto [known, isNew] = this->targets.try_emplace(target.instance, target);
+    changed = changed || isNew || known->second != target;
+    known->second = target;
+  }
+  for (const std::string& instance : aRemoved) {
+    this->lapsedExpiry.erase(instance);
+    changed = this->targets.erase(instance) > 0 || changed;
+  }
+  return changed;
+}
+
 void
 TargetDirectory::RecordStoreUnreachable(Instant aNow)
 {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -84,7 +84,11 @@
                [this](const std::map<std::string, RegisteredEntry>& aEntries) {
                  this->OnEntries(aEntries);
                },
-               [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); } },
+               [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); },
+               [this](const StoreReport& aReport) {
+                 this->bus.SendToAll(this->reducer.Entries().Neighbours(), aReport);
+               },
+               [this] { return this->reducer.DomainRank(Now()); } },
              this->incarnation)
   , server(this->context,
            MakeLimits(this->settings, CallerLimits{}),
@@ -259,6 +263,11 @@
       aEnvelope.from, aEnvelope.fromIncarnation, load->reports, load->isSnapshot, load->version });
   } else if (const auto* domainLoad = std::get_if<DomainLoadReport>(&aEnvelope.message)) {
     this->Step(*domainLoad);
+  } else if (const auto* report = std::get_if<StoreReport>(&aEnvelope.message)) {
+    if (!this->reducer.Entries().IsNeighbour(aEnvelope.from) ||
+        !this->follower.AcceptReport(*report)) {
+      this->metrics.Count("forward_peer_reports_ignored", "store");
+    }
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
     this->Step(PeerAbortReport{ notice->fingerprint });
   } else if (const auto* leaving = std::get_if<TargetLeavingNotice>(&aEnvelope.message)) {
--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -2,6 +2,7 @@
 // from the store and from peers. The entries are real processes; the store is a stand-in, and so is
 // the peer.
 #include <csignal>
+#include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -95,6 +96,8 @@
   CPPUNIT_TEST(HungReadDelaysAVersionByLessThanTheBound);
   CPPUNIT_TEST(EntryThatLagsReadsOnlyTheNewestVersion);
   CPPUNIT_TEST(EndlessResponseIsAbandoned);
+  CPPUNIT_TEST(OneEntryOfADomainReadsTheStore);
+  CPPUNIT_TEST(LossOfTheReaderDelaysChangesByLessThanTheBound);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +188,54 @@
     CPPUNIT_ASSERT(WaitUntil(
       kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
   }
+
+  // Guards against calls to the store that grow with the entries.
+  void OneEntryOfADomainReadsTheStore()
+  {
+    PlatformDeployment deployment;
+    std::this_thread::sleep_for(milliseconds(3'000)); // Both have heard of each other.
+    const std::uint64_t before = deployment.StoreReads("keyed.servers");
+    std::this_thread::sleep_for(milliseconds(4'500));
+    // One read of the registrations each 0.9 seconds, and one for what is timed unluckily.
+    CPPUNIT_ASSERT(deployment.StoreReads("keyed.servers") - before <= 6);
+
+    // Both know changes of either topic in time.
+    deployment.Publish("keyed.op", "config", MakeConfigurationWithLook(2));
+    deployment.SetFaults(deployment.TargetAddress(1), { { "draining", true } });
+    for (int entry = 1; entry <= 2; ++entry) {
+      CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] {
+        return deployment.SendRequest(entry, "/look/x", "r1", 0).status == 200;
+      }));
+      CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] { return IsDraining(deployment, entry); }));
+    }
+  }
+
+  // Guards against entries that wait for the reports of a neighbour which is frozen or killed.
+  void LossOfTheReaderDelaysChangesByLessThanTheBound()
+  {
+    for (const int signal : { SIGSTOP, SIGKILL }) {
+      for (int lost = 1; lost <= 2; ++lost) {
+        PlatformDeployment deployment;
+        std::this_thread::sleep_for(milliseconds(2'500));
+        deployment.entries[lost - 1].Signal(signal);
+        deployment.Publish("keyed.op", "config", MakeConfigurationWithLook(2));
+        deployment.SetFaults(deployment.TargetAddress(1), { { "draining", true } });
+        const int entry = 3 - lost;
+        CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] {
+          return deployment.SendRequest(entry, "/look/x", "r1", 0).status == 200 &&
+                 IsDraining(deployment, entry);
+        }));
+        deployment.entries[lost - 1].Signal(SIGCONT);
+      }
+    }
+  }
+
+private:
+  static bool IsDraining(const PlatformDeployment& aDeployment, int aEntry)
+  {
+    const json dump = harness::FetchDump(aDeployment.EntryIp(aEntry) + ":7001");
+    return dump.at("targets").at("engine-1").at("draining").get<bool>();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -1,6 +1,7 @@
 // Unit tests of what entries tell each other: EntryGroup, the load reports of other failure
 // domains, LoadTracker's sums, the retry budget of many entries, and the decoder of the messages.
 #include <cmath>
+#include <numeric>
 #include <random>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,6 +11,7 @@
 #include "sycamorepost/Message.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 #include "sycamorepost/forward/RetryBudget.h"
+#include "sycamorepost/forward/StoreSharing.h"
 
 namespace sycamorepost {
 namespace {
@@ -86,6 +88,8 @@
   CPPUNIT_TEST(InvalidNumbersOfPeersAreIgnored);
   CPPUNIT_TEST(LoadIsTheSumOverAllPeers);
   CPPUNIT_TEST(BudgetBelowOneRetryIsSpentByChance);
+  CPPUNIT_TEST(SilentReaderIsReplacedBeforeTheBound);
+  CPPUNIT_TEST(ReportsOfReadersCarryAllMissedChanges);
   CPPUNIT_TEST(DecoderReturnsOnAnyBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -297,14 +301,91 @@
     }
   }
 
+  // Guards against entries that all read the store, and against changes that stay unknown when the
+  // reader of a failure domain is silent.
+  void SilentReaderIsReplacedBeforeTheBound()
+  {
+    static constexpr int kEntries = 20;
+    const milliseconds bound(2'000);
+    std::vector<ReadSchedule> schedules(
+      kEntries, ReadSchedule({ bound * 9 / 20, bound * 2 / 25, bound * 3 / 100 }));
+    Instant now{ std::chrono::hours(1) };
+    for (ReadSchedule& schedule : schedules) {
+      schedule.RecordKnown(now);
+    }
+    std::vector<int> reads(kEntries);
+    const auto run = [&](int aSilent, milliseconds aDuration) {
+      const Instant end = now + aDuration;
+      for (; now < end; now += milliseconds(5)) {
+        for (std::size_t rank = aSilent; rank < schedules.size(); ++rank) {
+          if (schedules[rank].DueAt(rank) <= now) {
+            ++reads[rank];
+            for (std::size_t other = aSilent; other < schedules.size(); ++other) {
+              schedules[other].RecordKnown(now); // The report of the reader.
+            }
+          }
+          CPPUNIT_ASSERT(schedules[rank].KnownAsOf() + bound * 3 / 4 > now);
+        }
+      }
+    };
+    run(0, std::chrono::seconds(60));
+    CPPUNIT_ASSERT(reads[0] > 60);
+    CPPUNIT_ASSERT_EQUAL(reads[0], std::accumulate(reads.begin(), reads.end(), 0));
+
+    // The first three are silent, but still count as live.
+    reads.assign(kEntries, 0);
+    run(3, std::chrono::seconds(60));
+    CPPUNIT_ASSERT_EQUAL(reads[3], std::accumulate(reads.begin(), reads.end(), 0));
+  }
+
+  // Guards against a target that stays in use at an entry which missed a report, and against an
+  // older report that undoes a newer one.
+  void ReportsOfReadersCarryAllMissedChanges()
+  {
+    rc::check("a neighbour that misses up to two reports knows the same targets", [] {
+      RegistrationHistory history;
+      TargetDirectory reader;
+      TargetDirectory neighbour;
+      const Instant now{ std::chrono::hours(1) };
+      std::uint64_t offset = 1;
+      std::uint64_t neighbourOffset = 1;
+      history.Record(offset, reader.Targets());
+      int missed = 0;
+      const int reads = *rc::gen::inRange(1, 20);
+      for (int read = 0; read < reads; ++read) {
+        const int changes = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < changes; ++i) {
+          RegisteredTarget target{ .instance = std::to_string(*rc::gen::inRange(0, 4)) };
+          target.draining = *rc::gen::arbitrary<bool>();
+          const bool isRemoved = *rc::gen::arbitrary<bool>();
+          reader.Apply({ target.instance, isRemoved ? std::nullopt : std::optional(target) }, now);
+          ++offset;
+        }
+        history.Record(offset, reader.Targets());
+        const RegistrationReport report = history.MakeReport();
+        missed = missed < 1 && *rc::gen::arbitrary<bool>() ? missed + 1 : 0;
+        if (missed == 0) {
+          RC_ASSERT(Continues(report, neighbourOffset));
+          neighbour.Adopt(report.changed, report.removed);
+          neighbourOffset = report.nextOffset;
+          RC_ASSERT(neighbour.Targets() == reader.Targets());
+          RC_ASSERT(!Continues({ .fromOffset = 0, .nextOffset = offset - 1 }, neighbourOffset));
+        }
+      }
+    });
+  }
+
   void DecoderReturnsOnAnyBytes()
   {
     DomainLoadReport report;
     report.domain = "hobart";
     report.reporter = AddressOf(1);
     report.loads = { { "engine-1", 2, 2, 500, 12, 34 } };
+    StoreReport storeReport;
+    storeReport.registrations.changed = { { .instance = "engine-1", .address = "10.0.0.9:80" } };
+    storeReport.registrations.removed = { "engine-2" };
     for (const Message& message :
-         { Message(report), Message(TargetLeavingNotice{ "engine-1", 7 }) }) {
+         { Message(report), Message(TargetLeavingNotice{ "engine-1", 7 }), Message(storeReport) }) {
       Envelope envelope;
       envelope.from = AddressOf(1);
       envelope.message = message;
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -158,6 +158,12 @@
   return this->StoreCounters().at("bytes_served").at(aTopic).get<std::uint64_t>();
 }
 
+std::uint64_t
+PlatformDeployment::StoreReads(const std::string& aTopic) const
+{
+  return this->StoreCounters().at("reads").at(aTopic).get<std::uint64_t>();
+}
+
 json
 PlatformDeployment::StoreCounters() const
 {
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -76,6 +76,9 @@
   // Returns the bytes of all responses to reads of a topic of the store.
   std::uint64_t BytesServed(const std::string& aTopic) const;
 
+  // Returns the number of reads of a topic of the store, without listings.
+  std::uint64_t StoreReads(const std::string& aTopic) const;
+
   // Replaces the fault injection settings of a stand-in.
   void SetFaults(const std::string& aAddress, const nlohmann::json& aFaults);
 
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -74,6 +74,7 @@
   std::vector<std::string> records;                   // By offset, without the length prefix.
   std::map<std::string, std::uint64_t> newestOffsets; // Offset by key.
   std::uint64_t bytesServed = 0;                      // Of all responses to reads.
+  std::uint64_t reads = 0;
   asio::steady_timer changed;
 };
 
@@ -128,12 +129,15 @@
   nlohmann::json CountersJson() const
   {
     nlohmann::json bytesServed = nlohmann::json::object();
+    nlohmann::json reads = nlohmann::json::object();
     for (const auto& [name, topic] : this->topics) {
       bytesServed[name] = topic->bytesServed;
+      reads[name] = topic->reads;
     }
     return { { "hung_reads", this->hungReads },
              { "abandoned_reads", this->abandonedReads },
-             { "bytes_served", std::move(bytesServed) } };
+             { "bytes_served", std::move(bytesServed) },
+             { "reads", std::move(reads) } };
   }
 
   // Never responds, and keeps the connection open.
@@ -203,6 +207,7 @@
       page += EncodeBigEndian(aTopic.records[i].size(), 4) + aTopic.records[i];
     }
     aTopic.bytesServed += page.size();
+    ++aTopic.reads;
     co_await aExchange.Respond(200, {}, MakeBody(std::move(page)));
   }
 
