Tell peers that start later which targets are leaving

Cause: the notice of a leaving target went to the entries that were registered when it was announced. An entry that had just started, or whose registration had not been read yet, sent the target one more request (LeavingEngineIsLeftAloneByAllEntries failed in about 1 of 8 runs). Change: a new peer is told of the leaving targets that the store still lists as ready, and notices go to entries that were heard but not read as well.

--- a/include/sycamorepost/forward/EntryGroup.h
+++ b/include/sycamorepost/forward/EntryGroup.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,9 @@
   // Returns the addresses of the other entries of this entry's domain.
   const std::vector<std::string>& Neighbours() const { return this->neighbours; }
 
+  // Returns the addresses of all other entries.
+  std::set<std::string> AllPeers() const;
+
   // Return whether an entry is known to be in this entry's domain, or in another one.
   bool IsNeighbour(const std::string& aAddress) const;
   bool IsRemote(const std::string& aAddress) const;
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -260,17 +260,19 @@
   std::vector<std::string> recipients;
 };
 
-// Reports an aborted attempt of a request to all peers.
+// Reports an aborted attempt of a request to the peers at the given addresses.
 struct BroadcastAbort
 {
   std::uint64_t fingerprint = 0;
+  std::vector<std::string> recipients;
 };
 
-// Reports to all peers that a target has announced that it is leaving.
+// Reports to the peers at the given addresses that a target has announced that it is leaving.
 struct BroadcastLeaving
 {
   std::string instance;
   std::int64_t startedAtMs = 0; // See RegisteredTarget.
+  std::vector<std::string> recipients;
 };
 
 // Requests the configuration from a peer, which responds if it has a newer version.
--- a/include/sycamorepost/forward/LoadTracker.h
+++ b/include/sycamorepost/forward/LoadTracker.h
@@ -56,8 +56,8 @@
   void Remove(const PlacedWork& aWork, bool aWasPrefilled, Instant aNow);
 
   // Apply the load that a peer reports, and drop all reports of a peer that is down. A peer is
-  // another entry, or all entries of another failure domain together. Reports with invalid times are
-  // ignored.
+  // another entry, or all entries of another failure domain together. Reports with invalid times
+  // are ignored.
   void ApplyReport(const std::string& aPeer,
                    const std::vector<TargetLoadReport>& aReports,
                    Instant aNow);
--- a/src/core/forward/EntryGroup.cpp
+++ b/src/core/forward/EntryGroup.cpp
@@ -27,6 +27,16 @@
   }
 }
 
+std::set<std::string>
+EntryGroup::AllPeers() const
+{
+  std::set<std::string> addresses(this->directPeers.begin(), this->directPeers.end());
+  for (const auto& [name, members] : this->remotes) {
+    addresses.insert(members.begin(), members.end());
+  }
+  return addresses;
+}
+
 bool
 EntryGroup::IsNeighbour(const std::string& aAddress) const
 {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -179,6 +179,7 @@
   std::size_t EntryCount() const;
   Duration BroadcastDelay() const;
   void ReportDomainLoad();
+  std::vector<std::string> AllPeers() const;
   void RecordAbort(const internal::RequestState& aState);
   void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
   bool IsUsable(const std::string& aInstance) const;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -103,6 +103,12 @@
     if (!loads.empty()) {
       this->effects.emplace_back(BroadcastLoad{ std::move(loads), true, { aReport.peer } });
     }
+    for (const auto& [instance, target] : this->targets) {
+      if (!target.draining && this->notices.IsLeaving(target)) {
+        this->effects.emplace_back(
+          BroadcastLeaving{ instance, target.startedAtMs, { aReport.peer } });
+      }
+    }
   }
   this->peers[aReport.peer] = { aReport.incarnation, this->now };
   if (aReport.isSnapshot || isNew) {
@@ -377,12 +383,24 @@
   return std::max(kMinAssumedEntries, count);
 }
 
+// Returns the addresses of the registered entries, and of those that were heard before their
+// registration was.
+std::vector<std::string>
+ForwardReducer::Impl::AllPeers() const
+{
+  std::set<std::string> addresses(this->group.AllPeers());
+  for (const auto& [address, peer] : this->peers) {
+    addresses.insert(address);
+  }
+  return { addresses.begin(), addresses.end() };
+}
+
 // A request whose attempts are aborted at every target may be what crashes them.
 void
 ForwardReducer::Impl::RecordAbort(const RequestState& aState)
 {
   this->AddAbort(aState.request.fingerprint);
-  this->effects.emplace_back(BroadcastAbort{ aState.request.fingerprint });
+  this->effects.emplace_back(BroadcastAbort{ aState.request.fingerprint, this->AllPeers() });
 }
 
 // Peers learn of a leaving target before the store lists it as draining.
@@ -396,7 +414,8 @@
     this->effects.emplace_back(LogDecision{ "target-leaving", "", { { "target", instance } } });
     const auto known = this->targets.find(instance);
     if (known != this->targets.end() && !known->second.draining) {
-      this->effects.emplace_back(BroadcastLeaving{ instance, aTarget.startedAtMs });
+      this->effects.emplace_back(
+        BroadcastLeaving{ instance, aTarget.startedAtMs, this->AllPeers() });
     }
   }
   if (aAnnouncement.pause) {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -223,13 +223,13 @@
 void
 ForwardDaemon::Execute(BroadcastAbort& aBroadcast)
 {
-  this->bus.SendToAll(this->peers, AbortNotice{ aBroadcast.fingerprint });
+  this->bus.SendToAll(aBroadcast.recipients, AbortNotice{ aBroadcast.fingerprint });
 }
 
 void
 ForwardDaemon::Execute(BroadcastLeaving& aBroadcast)
 {
-  this->bus.SendToAll(this->peers,
+  this->bus.SendToAll(aBroadcast.recipients,
                       TargetLeavingNotice{ aBroadcast.instance, aBroadcast.startedAtMs });
 }
 
@@ -301,13 +301,7 @@
 void
 ForwardDaemon::OnEntries(const std::map<std::string, RegisteredEntry>& aEntries)
 {
-  this->peers.clear();
-  for (const auto& [name, entry] : aEntries) {
-    if (name != this->settings.name && entry.address != this->settings.peerAddress) {
-      this->peers.push_back(entry.address);
-    }
-  }
-  LOG(INFO) << "[forward] " << this->peers.size() << " other entries are registered";
+  LOG(INFO) << "[forward] " << aEntries.size() << " entries are registered";
   this->Step(EntriesChanged{ aEntries });
 }
 
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -111,7 +111,6 @@
   std::uint64_t lastHandle = 0;
   std::map<std::uint64_t, std::shared_ptr<Session>> sessions;    // By handle.
   std::map<std::uint64_t, std::shared_ptr<HttpStream>> attempts; // By attempt ID.
-  std::vector<std::string> peers;                                // Addresses of all others.
   std::shared_ptr<const RouteTable> table;
   std::string configuration; // The text in force, sent to peers that cannot reach the store.
 };
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -458,7 +458,16 @@
     driver.Step(TargetsChanged{ driver.targets });
     assertUnused();
 
-    // Peers are told once, and treat the engine alike.
+    // A peer that starts later is told as well.
+    bool isTold = false;
+    for (const ForwardEffect& effect : driver.Step(PeerLoadReport{ "peer", 1, {}, false })) {
+      const auto* notice = std::get_if<BroadcastLeaving>(&effect);
+      isTold =
+        isTold || (notice && notice->instance == leaving && notice->recipients.front() == "peer");
+    }
+    CPPUNIT_ASSERT(isTold);
+
+    // Peers treat the engine alike.
     ForwardReducerDriver peer(2);
     peer.Step(PeerLeavingReport{ leaving, 0 });
     for (int i = 0; i < 4; ++i) {
