Limit what waits for a silent peer, and report malformed messages sparingly

Cause: up to 20,000 messages waited for a peer, whatever their size; every malformed message was logged; a connection on which sends timed out was kept. Change: 8 MiB wait for a peer at the most; malformed messages are counted and logged once in ten seconds; an entry dials anew after a send that timed out.

--- a/src/net/PeerBus.cpp
+++ b/src/net/PeerBus.cpp
@@ -19,6 +19,7 @@
 constexpr nng_duration kRedialMaxMs = 500;
 constexpr std::size_t kMaxQueuedMessages = 20'000;
 constexpr std::size_t kMaxFrameBytes = 64 * 1024 * 1024;
+constexpr auto kMalformedReportInterval = std::chrono::seconds(10);
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
 
 std::string
@@ -103,15 +104,21 @@
   void Enqueue(nng_msg* aMessage)
   {
     this->lastUsedAt = std::chrono::steady_clock::now();
-    if (this->queue.size() >= kMaxQueuedMessages) {
+    const std::size_t bytes = nng_msg_len(aMessage);
+    const bool isFull = this->queue.size() >= kMaxQueuedMessages ||
+                        (!this->queue.empty() && this->queuedBytes + bytes > kMaxQueuedBytes);
+    if (isFull) {
       nng_msg_free(aMessage);
       ++this->dropped;
       return;
     }
     this->queue.push_back(aMessage);
+    this->queuedBytes += bytes;
     this->SendNext();
   }
 
+  std::size_t QueuedBytes() const { return this->queuedBytes; }
+
   void Reconnect()
   {
     nng_close(this->socket);
@@ -144,6 +151,7 @@
     this->sending = true;
     this->selfReference = this->shared_from_this();
     nng_aio_set_msg(this->aio, this->queue.front());
+    this->queuedBytes -= nng_msg_len(this->queue.front());
     this->queue.pop_front();
     nng_send_aio(this->socket, this->aio);
   }
@@ -179,6 +187,7 @@
   nng_aio* aio = nullptr;
   bool sending = false;
   std::deque<nng_msg*> queue;
+  std::size_t queuedBytes = 0;
   // Keeps this object alive while a send is in progress.
   std::shared_ptr<PeerConnection> selfReference;
   std::chrono::steady_clock::time_point lastUsedAt = std::chrono::steady_clock::now();
@@ -188,9 +197,12 @@
 class PeerBus::Listener
 {
 public:
-  Listener(boost::asio::io_context& aContext, PeerBus::Handler aHandler)
+  Listener(boost::asio::io_context& aContext,
+           PeerBus::Handler aHandler,
+           std::shared_ptr<std::uint64_t> aMalformed)
     : context(aContext)
     , handler(std::move(aHandler))
+    , malformed(std::move(aMalformed))
   {
     CHECK_EQ(nng_pull0_open(&this->socket), 0);
     nng_socket_set_size(this->socket, NNG_OPT_RECVMAXSZ, kMaxFrameBytes);
@@ -243,12 +255,26 @@
     if (envelope) {
       this->handler(*std::move(envelope));
     } else {
-      LOG(WARNING) << "[bus] dropped a malformed message: " << reason;
+      this->ReportMalformed(reason);
+    }
+  }
+
+  // A peer of another version may send messages that are unknown here at a high rate.
+  void ReportMalformed(const std::string& aReason)
+  {
+    ++*this->malformed;
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= this->nextReportAt) {
+      this->nextReportAt = now + kMalformedReportInterval;
+      LOG(WARNING) << "[bus] dropped a malformed message, " << *this->malformed
+                   << " since the start: " << aReason;
     }
   }
 
   boost::asio::io_context& context;
   PeerBus::Handler handler;
+  std::shared_ptr<std::uint64_t> malformed;
+  std::chrono::steady_clock::time_point nextReportAt;
   nng_socket socket{};
   nng_aio* aio = nullptr;
 };
@@ -271,7 +297,7 @@
 bool
 PeerBus::Listen(const std::string& aListenAddress, std::string& aReason)
 {
-  this->listener = std::make_unique<Listener>(this->context, this->handler);
+  this->listener = std::make_unique<Listener>(this->context, this->handler, this->malformed);
   return this->listener->Listen(aListenAddress, aReason);
 }
 
@@ -335,6 +361,13 @@
   }
 }
 
+std::size_t
+PeerBus::QueuedBytes(const std::string& aPeer) const
+{
+  const auto connection = this->connections.find(aPeer);
+  return connection == this->connections.end() ? 0 : connection->second->QueuedBytes();
+}
+
 void
 PeerBus::CloseIdleConnections()
 {
--- a/src/net/PeerBus.h
+++ b/src/net/PeerBus.h
@@ -47,6 +47,9 @@
   // Starts to listen on an ip:port address. On failure returns false and sets aReason.
   bool Listen(const std::string& aListenAddress, std::string& aReason);
 
+  // The messages that may wait for one peer, in bytes. A single larger one waits alone.
+  static constexpr std::size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+
   // Queues a message for the peer at an ip:port address, and connects to it if necessary. Drops the
   // message when the queue is full.
   void Send(const std::string& aTo,
@@ -73,6 +76,12 @@
   // Returns the number of messages that were dropped instead of being sent.
   std::uint64_t Dropped() const { return this->dropped; }
 
+  // Returns the number of received frames that were no valid message.
+  std::uint64_t Malformed() const { return *this->malformed; }
+
+  // Returns the bytes of the messages that wait to be sent to a peer; at most kMaxQueuedBytes.
+  std::size_t QueuedBytes(const std::string& aPeer) const;
+
 private:
   class PeerConnection;
   class Listener;
@@ -89,6 +98,7 @@
   std::map<std::string, std::shared_ptr<PeerConnection>> connections;
   std::array<TrafficCount, kMessageNames.size()> traffic{};
   std::uint64_t dropped = 0;
+  std::shared_ptr<std::uint64_t> malformed = std::make_shared<std::uint64_t>(0);
 };
 
 } // namespace sycamorepost
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -66,7 +66,8 @@
       this->settings.peerAddress,
       this->incarnation,
       [this](const Envelope& aEnvelope) { this->OnMessage(aEnvelope); },
-      [](const std::string& /*aPeer*/) {}) // Ignored: the next message carries the same state.
+      // The lost message is not repeated, as the next one carries the same state.
+      [this](const std::string& aPeer) { this->bus.Reconnect(aPeer); })
   , follower(this->context,
              { this->settings.storeAddress,
                this->settings.name,
@@ -378,6 +379,9 @@
   this->metrics.Set("configuration_version",
                     static_cast<double>(this->follower.ConfigurationVersion()));
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
+  this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
+  this->metrics.Set("peer_messages_dropped", static_cast<double>(this->bus.Dropped()));
+  this->metrics.Set("peer_messages_malformed", static_cast<double>(this->bus.Malformed()));
   this->metrics.Set("log_lines_dropped", static_cast<double>(this->log.DroppedLines()));
   return this->metrics.Format();
 }
