Prefer engines of the own failure domain for prompts

Change: an engine in another failure domain costs a prompt as much as other entries may have placed there unseen; prompts overflow when the own domain is full. Up to 25 entries of a domain report after the least delay again. PromptsOverflowToAnotherDomainOnlyWhen- TheOwnIsFull fails without the change.

--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -22,7 +22,7 @@
 // each recipient, and the greatest one. Several changes share one message; a pass of an engine
 // takes twice the least delay.
 constexpr Duration kMinBroadcastDelay = std::chrono::milliseconds(25);
-constexpr Duration kBroadcastDelayPerPeer = std::chrono::milliseconds(2);
+constexpr Duration kBroadcastDelayPerPeer = std::chrono::milliseconds(1);
 constexpr Duration kMaxBroadcastDelay = std::chrono::milliseconds(200);
 
 // The reporters of a failure domain, of which one may be lost unnoticed, and how often they report
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -75,6 +75,10 @@
 // Cost of a call across failure domains, in milliseconds: one round trip.
 constexpr double kRemoteDomainMs = 10;
 
+// The same for a prompt. The load of engines in other failure domains is known with a delay, in
+// which other entries may have placed as much as this.
+constexpr double kRemotePromptMs = 100;
+
 // Cost of failed exchanges, in milliseconds of waiting per unit of the failure rate: one failed
 // exchange in two costs about a second attempt.
 constexpr double kFailureRateMs = 600;
@@ -128,7 +132,8 @@
            const Candidate& aCandidate,
            const LoadTracker& aLoadTracker)
 {
-  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : kRemoteDomainMs;
+  const double remote = aRequest.promptTokens > 0 ? kRemotePromptMs : kRemoteDomainMs;
+  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : remote;
   return distance + aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
 }
 
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -212,6 +212,7 @@
   CPPUNIT_TEST(BurstOfShortPromptsIsShedBeyondShortQueue);
   CPPUNIT_TEST(LongPromptAvoidsEnginesWithStrictStreams);
   CPPUNIT_TEST(ShortPromptsArePackedOnFullestEngine);
+  CPPUNIT_TEST(PromptsOverflowToAnotherDomainOnlyWhenTheOwnIsFull);
   CPPUNIT_TEST(EntriesWithSameLoadReportsSpreadPlacement);
   CPPUNIT_TEST(LongPromptIsSplitByRemainingTime);
   CPPUNIT_TEST(RestartedPeerReceivesLoadSnapshot);
@@ -726,6 +727,37 @@
     }
   }
 
+  // Load pattern: short prompts in many failure domains, then a burst in one. Guards against
+  // prompts that go to engines whose load is known with a delay, and across failure domains, for
+  // the sake of packing; and against a queue in one domain while another has free engines.
+  void PromptsOverflowToAnotherDomainOnlyWhenTheOwnIsFull()
+  {
+    ForwardReducerDriver driver(8);
+    std::vector<TargetLoadReport> reports;
+    for (int i = 5; i <= 8; ++i) {
+      driver.targets["engine-" + std::to_string(i)].domain = "burnie";
+      reports.push_back({ "engine-" + std::to_string(i), 5, 5, 25'000, 0, 0 });
+    }
+    driver.Step(TargetsChanged{ driver.targets });
+    driver.Step(PeerLoadReport{ "peer", 1, reports, true });
+    const auto sendPrompt = [&] {
+      driver.SendRequest("/draft/", 3000);
+      driver.ReceiveHead(200);
+      driver.ReceiveData(MakeEvent(1));
+      driver.AdvanceTime(milliseconds(20));
+      return driver.targets[driver.starts.back().instance].domain;
+    };
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string("hobart"), sendPrompt());
+    }
+    int remote = 0;
+    for (int i = 20; i < 64; ++i) { // The engines of the domain have 64 slots.
+      remote += sendPrompt() == "burnie" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(remote), remote >= 10);
+    CPPUNIT_ASSERT(driver.responses.empty());
+  }
+
   // Load pattern: a short burst over many entries. Load reports of the peers arrive late, so
   // without a randomized choice all entries would place their requests on the same engine.
   void EntriesWithSameLoadReportsSpreadPlacement()
