Notice that a neighbour's report and the own directory differ

A report lists what changed in the reader's last states, so an entry that had read the same records from a listing which changed meanwhile, or an older listing, could lack a change that is never listed again, while each report made its knowledge count as fresh.

--- a/include/sycamorepost/forward/StoreSharing.h
+++ b/include/sycamorepost/forward/StoreSharing.h
@@ -55,6 +55,7 @@
 {
   std::uint64_t fromOffset = 0; // The reader knew the records before it when the changes began.
   std::uint64_t nextOffset = 0; // It knows the records before it now.
+  std::uint64_t digest = 0;     // DigestOf() all targets that it knows now.
   std::vector<RegisteredTarget> changed;
   std::vector<std::string> removed; // Instances.
 };
@@ -91,6 +92,11 @@
   std::deque<State> states; // The oldest one first.
 };
 
+// Returns a digest of a directory. Two entries that have read the same records may still differ:
+// one may keep a target whose registration has lapsed, or have read a listing while it changed.
+std::uint64_t
+DigestOf(const std::map<std::string, RegisteredTarget>& aTargets);
+
 // Returns whether a report continues what is known up to an offset, and is not older.
 bool
 Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset);
--- a/src/core/forward/StoreSharing.cpp
+++ b/src/core/forward/StoreSharing.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "sycamorepost/Hash.h"
+
 namespace sycamorepost {
 
 namespace {
@@ -49,6 +51,7 @@
   const State& last = this->states.back();
   report.fromOffset = first.nextOffset;
   report.nextOffset = last.nextOffset;
+  report.digest = DigestOf(last.targets);
   // A target that changed and changed back is listed as well: a neighbour may know the state
   // between.
   const auto isUnchanged = [&](const std::string& aInstance) {
@@ -78,6 +81,22 @@
   return report;
 }
 
+std::uint64_t
+DigestOf(const std::map<std::string, RegisteredTarget>& aTargets)
+{
+  StreamDigest digest;
+  for (const auto& [instance, target] : aTargets) {
+    for (const std::string* text :
+         { &target.instance, &target.service, &target.address, &target.domain }) {
+      digest.Update(*text);
+      digest.Update("\n");
+    }
+    digest.Update(std::to_string(target.slots) + (target.draining ? " draining " : " ready ") +
+                  std::to_string(target.startedAtMs) + "\n");
+  }
+  return digest.Value();
+}
+
 bool
 Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset)
 {
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(BudgetBelowOneRetryIsSpentByChance);
   CPPUNIT_TEST(SilentReaderIsReplacedBeforeTheBound);
   CPPUNIT_TEST(ReportsOfReadersCarryAllMissedChanges);
+  CPPUNIT_TEST(ReportTellsNeighboursThatDifferApart);
   CPPUNIT_TEST(DecoderReturnsOnAnyBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -369,12 +370,33 @@
           neighbour.Adopt(report.changed, report.removed);
           neighbourOffset = report.nextOffset;
           RC_ASSERT(neighbour.Targets() == reader.Targets());
+          RC_ASSERT(DigestOf(neighbour.Targets()) == report.digest);
           RC_ASSERT(!Continues({ .fromOffset = 0, .nextOffset = offset - 1 }, neighbourOffset));
         }
       }
     });
   }
 
+  // Guards against a draining target that stays in use at an entry which has read the same records
+  // as the reader, but from a listing that changed meanwhile: the reader does not report it again.
+  void ReportTellsNeighboursThatDifferApart()
+  {
+    const Instant now{ std::chrono::hours(1) };
+    RegisteredTarget target{ .instance = "engine-1", .address = "10.0.0.9:80" };
+    TargetDirectory neighbour;
+    neighbour.Apply({ target.instance, target }, now);
+    target.draining = true;
+    RegistrationHistory history;
+    for (std::uint64_t offset = 5; offset < 8; ++offset) {
+      history.Record(offset, { { target.instance, target } });
+    }
+    const RegistrationReport report = history.MakeReport();
+    CPPUNIT_ASSERT(Continues(report, 6));
+    neighbour.Adopt(report.changed, report.removed);
+    CPPUNIT_ASSERT(!neighbour.Targets().at("engine-1").draining);
+    CPPUNIT_ASSERT(DigestOf(neighbour.Targets()) != report.digest);
+  }
+
   void DecoderReturnsOnAnyBytes()
   {
     DomainLoadReport report;
