Report long prompts to other failure domains at once

Cause: with load reported by failure domain, two domains placed long prompts on the same engines, as each learnt of the other's up to 250 ms later; and the cost of a remote engine, meant for short prompts, kept long ones in one domain. Change: the entry that places a long prompt sends the sum of its domain to the others at that moment; the cost of a remote engine counts for short prompts. LongPromptIsReportedToOtherDomainsAtOnce fails without the change.

--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -193,6 +193,14 @@
   if (aState.request.promptTokens > 0) {
     this->promptRate.Record(this->now);
   }
+  // A long prompt takes engines for so long that others must not choose them in the meantime.
+  const bool isLong =
+    std::any_of(aPlacement.placedWork.begin(),
+                aPlacement.placedWork.end(),
+                [](const PlacedWork& aWork) { return FromMs(aWork.prefillMs) > kLongPrefill; });
+  if (isLong) {
+    this->ReportDomainLoad();
+  }
   attempt.placement = std::move(aPlacement);
   this->attemptOwner[attempt.id] = aState.request.handle;
   aState.attempt = std::move(attempt);
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -213,13 +213,12 @@
   });
 }
 
-// Sends the load of this entry's failure domain to one entry of each other domain, if this entry is
-// one of the reporters of its domain.
+// Sends the load of this entry's failure domain to one entry of each other domain.
 void
 ForwardReducer::Impl::ReportDomainLoad()
 {
   const std::vector<std::string> relays = this->group.TakeRelays();
-  if (relays.empty() || this->DomainRank(this->now) >= kDomainReporters) {
+  if (relays.empty()) {
     return;
   }
   DomainLoadReport report;
@@ -264,7 +263,9 @@
   }
   if (this->now >= this->domainReportAt) {
     this->domainReportAt = this->now + kDomainReportInterval * kDomainReporters;
-    this->ReportDomainLoad();
+    if (this->DomainRank(this->now) < kDomainReporters) {
+      this->ReportDomainLoad();
+    }
   }
 }
 
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -75,9 +75,10 @@
 // Cost of a call across failure domains, in milliseconds: one round trip.
 constexpr double kRemoteDomainMs = 10;
 
-// The same for a prompt. The load of engines in other failure domains is known with a delay, in
-// which other entries may have placed as much as this.
-constexpr double kRemotePromptMs = 100;
+// The same for a short prompt. The load of engines in other failure domains is known with a delay,
+// in which other entries may have placed as much as this. A long prompt needs more engines than a
+// domain may have free, and outlasts the delay.
+constexpr double kRemoteShortPromptMs = 100;
 
 // Cost of failed exchanges, in milliseconds of waiting per unit of the failure rate: one failed
 // exchange in two costs about a second attempt.
@@ -130,10 +131,10 @@
 double
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
+           double aRemoteMs,
            const LoadTracker& aLoadTracker)
 {
-  const double remote = aRequest.promptTokens > 0 ? kRemotePromptMs : kRemoteDomainMs;
-  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : remote;
+  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
   return distance + aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
 }
 
@@ -158,7 +159,8 @@
   for (Candidate& candidate : aCandidates) {
     const double load =
       static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
-    candidate.cost = load * 2 * kRemoteDomainMs + CommonCost(aRequest, candidate, aLoadTracker);
+    candidate.cost =
+      load * 2 * kRemoteDomainMs + CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
     candidate.cost += load >= 1 ? 2 * kRemoteDomainMs : 0;
   }
   SortByCost(aCandidates, aRandom);
@@ -359,10 +361,13 @@
                        kShortPromptShare * ToMs(aRequest.strictGap);
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
-    candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, aLoadTracker) +
-                     (isShort ? ShortCost(traits, candidate)
-                              : candidate.load.strictStreams * kStrictStreamMs +
-                                  RelaxedWeight(candidate) * kRelaxedWeightMs);
+    candidate.cost =
+      candidate.waitMs +
+      CommonCost(
+        aRequest, candidate, isShort ? kRemoteShortPromptMs : kRemoteDomainMs, aLoadTracker) +
+      (isShort ? ShortCost(traits, candidate)
+               : candidate.load.strictStreams * kStrictStreamMs +
+                   RelaxedWeight(candidate) * kRelaxedWeightMs);
   }
   SortByCost(aCandidates, aRandom);
   if (isShort) {
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(LoadIsReportedToTheOwnDomainOnly);
   CPPUNIT_TEST(TwoLiveEntriesReportForTheirDomain);
   CPPUNIT_TEST(ReportsReachEveryEntryOfAnotherDomainOnce);
+  CPPUNIT_TEST(LongPromptIsReportedToOtherDomainsAtOnce);
   CPPUNIT_TEST(EntriesOfAnEarlierVersionAreToldDirectly);
   CPPUNIT_TEST(ReportsOfUnknownDomainsAreIgnored);
   CPPUNIT_TEST(InvalidNumbersOfPeersAreIgnored);
@@ -187,6 +188,50 @@
     CPPUNIT_ASSERT_EQUAL(0, running());
   }
 
+  // Load pattern: long prompts through entries of several failure domains. Guards against two of
+  // them on the same engines, because one domain learns of the other's placements too late.
+  void LongPromptIsReportedToOtherDomainsAtOnce()
+  {
+    EntryDriver driver(0);
+    RouteRule route;
+    route.host = "host";
+    route.pathPrefix = "/";
+    route.kind = RouteKind::Stream;
+    route.services = { { "engines", 1 } };
+    route.timeout = std::chrono::seconds(10);
+    route.objective = std::chrono::seconds(3);
+    route.gapObjective = milliseconds(300);
+    route.allowsAnonymous = true;
+    auto table = std::make_shared<RouteTable>();
+    table->version = 1;
+    table->AddRoute(route);
+    table->services["engines"] = {
+      "engines",
+      0,
+      EngineTraits{ .prefillTokensPerMs = 100, .kvCapacityTokens = 300'000, .slots = 16 }
+    };
+    driver.Step(RoutesChanged{ table });
+    driver.Step(TargetsChanged{
+      { { "engine-1",
+          { .instance = "engine-1", .service = "engines", .address = "1.2.3.4:5" } } } });
+    const auto reportsOf = [&](std::uint32_t aTokens) {
+      driver.reports.clear();
+      ForwardRequest request;
+      request.handle = aTokens;
+      request.host = "host";
+      request.path = "/";
+      request.body = MakeBody("");
+      request.promptTokens = aTokens;
+      driver.Step(request);
+      return driver.reports.size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), reportsOf(3'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), reportsOf(60'000));
+    const SendDomainLoad& report = driver.reports.front();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), report.recipients.size());
+    CPPUNIT_ASSERT(report.report.loads.front().prefillMs > 500);
+  }
+
   // Guards against a rolling restart in which entries of two versions do not know each other's
   // load.
   void EntriesOfAnEarlierVersionAreToldDirectly()
