Do not refuse a short prompt while another domain has time

Cause: the cost of a remote engine made entries choose an engine of their own domain on which the first event would be late, and refuse the prompt for that prediction, while a remote engine would have been in time. Change: the predicted lateness of a short prompt's first event counts as cost, and outweighs the distance. PromptIsNotRefusedWhileAnotherDomainHasTime fails without the change.

--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -40,6 +40,10 @@
 // entries do not all choose the same: as much as two other short prompts that are prefilled before.
 constexpr double kSpreadToleranceMs = 60;
 
+// Cost, in milliseconds, of a late first event of a short request: it outweighs the distance of an
+// engine that is in time.
+constexpr double kLateShortMs = 300;
+
 // Cost, in milliseconds, of each strict stream beyond kStrictSlotShare.
 constexpr double kCrowdingMs = 40;
 
@@ -297,15 +301,19 @@
   return aRequest.gapObjective <= aRequest.strictGap;
 }
 
-// Returns the cost, in milliseconds, of running a short request on an engine, apart from the wait
+// Returns the cost, in milliseconds, of running a short request on an engine, beside the wait
 // there.
 double
-ShortCost(const EngineTraits& aTraits, const Candidate& aCandidate)
+ShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate)
 {
-  const double maxStrict = kStrictSlotShare * aTraits.slots;
+  const EngineTraits& traits = *aRequest.service->engine;
+  const double firstEventMs = aCandidate.waitMs + EstimatePrefillMs(traits, aRequest.promptTokens) +
+                              EstimatePassMs(traits, 1, aRequest.promptTokens);
+  const double maxStrict = kStrictSlotShare * traits.slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
   const double packed = std::min<double>(aCandidate.load.strictStreams, maxStrict);
-  return excess * kCrowdingMs + (aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0) -
+  return MissProbability(firstEventMs, ToMs(aRequest.objective)) * kLateShortMs +
+         excess * kCrowdingMs + (aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0) -
          packed * kPackingGainMs;
 }
 
@@ -365,7 +373,7 @@
       candidate.waitMs +
       CommonCost(
         aRequest, candidate, isShort ? kRemoteShortPromptMs : kRemoteDomainMs, aLoadTracker) +
-      (isShort ? ShortCost(traits, candidate)
+      (isShort ? ShortCost(aRequest, candidate)
                : candidate.load.strictStreams * kStrictStreamMs +
                    RelaxedWeight(candidate) * kRelaxedWeightMs);
   }
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -213,6 +213,7 @@
   CPPUNIT_TEST(LongPromptAvoidsEnginesWithStrictStreams);
   CPPUNIT_TEST(ShortPromptsArePackedOnFullestEngine);
   CPPUNIT_TEST(PromptsOverflowToAnotherDomainOnlyWhenTheOwnIsFull);
+  CPPUNIT_TEST(PromptIsNotRefusedWhileAnotherDomainHasTime);
   CPPUNIT_TEST(EntriesWithSameLoadReportsSpreadPlacement);
   CPPUNIT_TEST(LongPromptIsSplitByRemainingTime);
   CPPUNIT_TEST(RestartedPeerReceivesLoadSnapshot);
@@ -758,6 +759,26 @@
     CPPUNIT_ASSERT(driver.responses.empty());
   }
 
+  // Load pattern: short prompts after the loss of engines in one failure domain. Guards against
+  // refusals, or late first events, for the sake of the own domain while another one is in time.
+  void PromptIsNotRefusedWhileAnotherDomainHasTime()
+  {
+    ForwardReducerDriver driver(4);
+    std::vector<TargetLoadReport> reports;
+    for (int i = 1; i <= 4; ++i) {
+      const std::string instance = "engine-" + std::to_string(i);
+      driver.targets[instance].domain = i <= 2 ? "hobart" : "burnie";
+      const double prefillMs = i <= 2 ? 170 : 90;
+      reports.push_back({ instance, 2, 2, 10'000, prefillMs, prefillMs });
+    }
+    driver.Step(TargetsChanged{ driver.targets });
+    driver.Step(PeerLoadReport{ "peer", 1, reports, true });
+    driver.SendRequest("/draft/", 3000);
+    CPPUNIT_ASSERT(driver.responses.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("burnie"),
+                         driver.targets[driver.starts.back().instance].domain);
+  }
+
   // Load pattern: a short burst over many entries. Load reports of the peers arrive late, so
   // without a randomized choice all entries would place their requests on the same engine.
   void EntriesWithSameLoadReportsSpreadPlacement()
