Let entries that are cut from their neighbours use all domains

Change: the cost of a remote engine is that of the distance alone for such an entry. EntryCutFromItsNeighboursUsesAllDomains fails without the change.

--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/Placement.h
@@ -30,6 +30,7 @@
   std::set<std::string> triedInstances;   // Instances that must not be used again.
   const TargetNotices* notices = nullptr; // Targets that want no work; may be null.
   std::string domain;                     // The failure domain of the entry.
+  bool hearsNeighbours = true;            // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
   // failure domain, and all.
   double unreportedPrompts = 0;
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -107,6 +107,7 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.domain = this->config.domain;
+  request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
   request.unreportedPrompts = this->promptRate.PerSecond(this->now) *
                               static_cast<double>(this->peers.size()) *
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/Placement.cpp
@@ -367,15 +367,15 @@
   const EngineTraits& traits = *aRequest.service->engine;
   const bool isShort = EstimatePrefillMs(traits, aRequest.promptTokens) <=
                        kShortPromptShare * ToMs(aRequest.strictGap);
+  // Without reports the own domain is no better known than the others.
+  const double remoteMs =
+    isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
-    candidate.cost =
-      candidate.waitMs +
-      CommonCost(
-        aRequest, candidate, isShort ? kRemoteShortPromptMs : kRemoteDomainMs, aLoadTracker) +
-      (isShort ? ShortCost(aRequest, candidate)
-               : candidate.load.strictStreams * kStrictStreamMs +
-                   RelaxedWeight(candidate) * kRelaxedWeightMs);
+    candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, remoteMs, aLoadTracker) +
+                     (isShort ? ShortCost(aRequest, candidate)
+                              : candidate.load.strictStreams * kStrictStreamMs +
+                                  RelaxedWeight(candidate) * kRelaxedWeightMs);
   }
   SortByCost(aCandidates, aRandom);
   if (isShort) {
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -37,7 +37,31 @@
   return entries;
 }
 
-// A reducer whose broadcasts and reports are kept.
+// Returns a table with one route of streams to engines.
+std::shared_ptr<RouteTable>
+MakeStreamTable()
+{
+  RouteRule route;
+  route.host = "host";
+  route.pathPrefix = "/";
+  route.kind = RouteKind::Stream;
+  route.services = { { "engines", 1 } };
+  route.timeout = std::chrono::seconds(10);
+  route.objective = std::chrono::seconds(3);
+  route.gapObjective = milliseconds(300);
+  route.allowsAnonymous = true;
+  auto table = std::make_shared<RouteTable>();
+  table->version = 1;
+  table->AddRoute(route);
+  table->services["engines"] = {
+    "engines",
+    0,
+    EngineTraits{ .prefillTokensPerMs = 100, .kvCapacityTokens = 300'000, .slots = 16 }
+  };
+  return table;
+}
+
+// A reducer whose broadcasts, reports and attempts are kept.
 class EntryDriver
 {
 public:
@@ -56,10 +80,23 @@
         this->broadcasts.push_back(*broadcast);
       } else if (const auto* report = std::get_if<SendDomainLoad>(&effect)) {
         this->reports.push_back(*report);
+      } else if (const auto* start = std::get_if<StartAttempt>(&effect)) {
+        this->starts.push_back(*start);
       }
     }
   }
 
+  void SendPrompt(std::uint32_t aTokens)
+  {
+    ForwardRequest request;
+    request.handle = ++this->lastHandle;
+    request.host = "host";
+    request.path = "/";
+    request.body = MakeBody("");
+    request.promptTokens = aTokens;
+    this->Step(request);
+  }
+
   void AdvanceTime(Duration aDuration)
   {
     const Instant until = this->now + aDuration;
@@ -75,6 +112,8 @@
   Instant now{ std::chrono::hours(1) };
   std::vector<BroadcastLoad> broadcasts;
   std::vector<SendDomainLoad> reports;
+  std::vector<StartAttempt> starts;
+  std::uint64_t lastHandle = 0;
 };
 
 class CoordinationTest : public CppUnit::TestFixture
@@ -84,6 +123,7 @@
   CPPUNIT_TEST(TwoLiveEntriesReportForTheirDomain);
   CPPUNIT_TEST(ReportsReachEveryEntryOfAnotherDomainOnce);
   CPPUNIT_TEST(LongPromptIsReportedToOtherDomainsAtOnce);
+  CPPUNIT_TEST(EntryCutFromItsNeighboursUsesAllDomains);
   CPPUNIT_TEST(EntriesOfAnEarlierVersionAreToldDirectly);
   CPPUNIT_TEST(ReportsOfUnknownDomainsAreIgnored);
   CPPUNIT_TEST(InvalidNumbersOfPeersAreIgnored);
@@ -188,41 +228,48 @@
     CPPUNIT_ASSERT_EQUAL(0, running());
   }
 
+  // Load pattern: a burst while entries are cut from each other. Guards against blind entries that
+  // all load the engines of their own domain.
+  void EntryCutFromItsNeighboursUsesAllDomains()
+  {
+    std::map<std::string, RegisteredTarget> targets;
+    for (int i = 0; i < 9; ++i) {
+      RegisteredTarget target{ .instance = "engine-" + std::to_string(i), .service = "engines" };
+      target.domain = kDomains[i % 3];
+      target.address = "1.2.3." + std::to_string(i) + ":5";
+      targets[target.instance] = target;
+    }
+    const auto countRemote = [&](bool aHearsNeighbour) {
+      EntryDriver driver(0);
+      driver.Step(RoutesChanged{ MakeStreamTable() });
+      driver.Step(TargetsChanged{ targets });
+      if (aHearsNeighbour) {
+        driver.Step(PeerLoadReport{ AddressOf(3), 1, {}, false });
+      }
+      int remote = 0;
+      for (int i = 0; i < 24; ++i) { // All at once.
+        driver.SendPrompt(3'000);
+        remote += targets[driver.starts.back().instance].domain != kDomains[0] ? 1 : 0;
+      }
+      return remote;
+    };
+    // A third of the engines is in the own domain.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(countRemote(false)), countRemote(false) >= 24 / 3);
+    CPPUNIT_ASSERT(countRemote(true) < countRemote(false));
+  }
+
   // Load pattern: long prompts through entries of several failure domains. Guards against two of
   // them on the same engines, because one domain learns of the other's placements too late.
   void LongPromptIsReportedToOtherDomainsAtOnce()
   {
     EntryDriver driver(0);
-    RouteRule route;
-    route.host = "host";
-    route.pathPrefix = "/";
-    route.kind = RouteKind::Stream;
-    route.services = { { "engines", 1 } };
-    route.timeout = std::chrono::seconds(10);
-    route.objective = std::chrono::seconds(3);
-    route.gapObjective = milliseconds(300);
-    route.allowsAnonymous = true;
-    auto table = std::make_shared<RouteTable>();
-    table->version = 1;
-    table->AddRoute(route);
-    table->services["engines"] = {
-      "engines",
-      0,
-      EngineTraits{ .prefillTokensPerMs = 100, .kvCapacityTokens = 300'000, .slots = 16 }
-    };
-    driver.Step(RoutesChanged{ table });
+    driver.Step(RoutesChanged{ MakeStreamTable() });
     driver.Step(TargetsChanged{
       { { "engine-1",
           { .instance = "engine-1", .service = "engines", .address = "1.2.3.4:5" } } } });
     const auto reportsOf = [&](std::uint32_t aTokens) {
       driver.reports.clear();
-      ForwardRequest request;
-      request.handle = aTokens;
-      request.host = "host";
-      request.path = "/";
-      request.body = MakeBody("");
-      request.promptTokens = aTokens;
-      driver.Step(request);
+      driver.SendPrompt(aTokens);
       return driver.reports.size();
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), reportsOf(3'000));
