--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include "harness/VirtualTime.h"
 #include "sycamorepost/Message.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 #include "sycamorepost/forward/RetryBudget.h"
@@ -97,16 +98,7 @@
     this->Step(request);
   }
 
-  void AdvanceTime(Duration aDuration)
-  {
-    const Instant until = this->now + aDuration;
-    for (auto next = this->reducer.NextWake(); next && *next <= until;
-         next = this->reducer.NextWake()) {
-      this->now = std::max(this->now, *next);
-      this->Step(Wake{});
-    }
-    this->now = until;
-  }
+  void AdvanceTime(Duration aDuration) { harness::AdvanceTime(*this, aDuration); }
 
   ForwardReducer reducer;
   Instant now{ std::chrono::hours(1) };
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -2,6 +2,7 @@
 // guarantee that the call did not run, KV reservations, placement and load shedding.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "harness/VirtualTime.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 
 namespace sycamorepost {
@@ -158,16 +159,7 @@
     this->Step(AttemptEnd{ this->starts.back().attempt, aKind, "test" });
   }
 
-  void AdvanceTime(Duration aDuration)
-  {
-    const Instant until = this->now + aDuration;
-    for (auto next = this->reducer.NextWake(); next && *next <= until;
-         next = this->reducer.NextWake()) {
-      this->now = std::max(this->now, *next);
-      this->Step(Wake{});
-    }
-    this->now = until;
-  }
+  void AdvanceTime(Duration aDuration) { harness::AdvanceTime(*this, aDuration); }
 
   ForwardReducer reducer;
   Instant now{ std::chrono::hours(1) };
