Do not understate the age of what the store or a neighbour says

Cause: a read of the configuration counted as current at its end also when it had not waited or the response was slow, and the age in a neighbour's report was taken as it came, so that an impossible one could put off an entry's own reads for good. Change: a read counts as current from its start, or from the end of the wait at the most; an age that is over a minute is ignored and the report counted. AgeOfKnowledgeIsNotUnderstated covers both; before, neither was checked. The schedule's test names the half second that it leaves for a read; its limit, three quarters of the shortest bound, is as before.

--- a/include/sycamorepost/forward/StoreSharing.h
+++ b/include/sycamorepost/forward/StoreSharing.h
@@ -15,10 +15,11 @@
 
 namespace sycamorepost {
 
-// When a topic is read, as shares of the time within which a change must be known everywhere.
+// When the entries of a failure domain read a topic. All of it fits into the time within which a
+// change must be known everywhere.
 struct ReadPacing
 {
-  Duration interval{};  // Between two reads of the first entry of a failure domain.
+  Duration interval{};  // Between two reads of the first entry of the domain.
   Duration heirDelay{}; // How much later the second entry reads when it heard nothing newer,
   Duration heirStep{};  // and how much later than that each further one.
 };
@@ -38,11 +39,13 @@
   // Records that the state of the topic at an instant is known, from the store or a neighbour.
   void RecordKnown(Instant aAsOf) { this->knownAsOf = std::max(this->knownAsOf, aAsOf); }
 
+  // Changes the time between two reads of the first entry.
   void SetInterval(Duration aInterval) { this->pacing.interval = aInterval; }
 
   // Returns when the entry with a rank in its failure domain reads next.
   Instant DueAt(std::size_t aRank) const;
 
+  // Returns the last instant at which the state of the topic is known.
   Instant KnownAsOf() const { return this->knownAsOf; }
 
 private:
@@ -50,6 +53,16 @@
   Instant knownAsOf;
 };
 
+// Returns when the state that a read has returned was current. The store waits up to aWait for a
+// record; what a read takes beyond that may have passed after the state was read.
+Instant
+ReadAsOf(Instant aStartedAt, Instant aEndedAt, Duration aWait);
+
+// Returns when the state of a report was current that is aAgeMs milliseconds old. Returns nothing
+// for a negative age, which means that the report has no such state, and for one of over a minute.
+std::optional<Instant>
+ReportAsOf(std::int64_t aAgeMs, Instant aNow);
+
 // The targets as a reader knows them: the changes since an earlier state of the topic.
 struct RegistrationReport
 {
--- a/src/core/forward/StoreSharing.cpp
+++ b/src/core/forward/StoreSharing.cpp
@@ -11,8 +11,12 @@
 // From this rank on, entries read at the same time.
 constexpr std::size_t kMaxHeirs = 5;
 
+// The states that a report covers: it may be the third one that a neighbour gets.
 constexpr std::size_t kMaxStates = 3;
 
+// No bound on the age of knowledge is as long.
+constexpr std::int64_t kMaxReportAgeMs = 60'000;
+
 } // namespace
 
 Instant
@@ -26,6 +30,21 @@
   return due;
 }
 
+Instant
+ReadAsOf(Instant aStartedAt, Instant aEndedAt, Duration aWait)
+{
+  return aStartedAt + std::min(aEndedAt - aStartedAt, aWait);
+}
+
+std::optional<Instant>
+ReportAsOf(std::int64_t aAgeMs, Instant aNow)
+{
+  if (aAgeMs < 0 || aAgeMs > kMaxReportAgeMs) {
+    return std::nullopt;
+  }
+  return aNow - std::chrono::milliseconds(aAgeMs);
+}
+
 void
 RegistrationHistory::Record(std::uint64_t aNextOffset,
                             const std::map<std::string, RegisteredTarget>& aTargets)
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -1,6 +1,7 @@
 // Unit tests of what entries tell each other: EntryGroup, the load reports of other failure
 // domains, LoadTracker's sums, the retry budget of many entries, and the decoder of the messages.
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <random>
 
@@ -122,6 +123,7 @@
   CPPUNIT_TEST(LoadIsTheSumOverAllPeers);
   CPPUNIT_TEST(BudgetBelowOneRetryIsSpentByChance);
   CPPUNIT_TEST(SilentReaderIsReplacedBeforeTheBound);
+  CPPUNIT_TEST(AgeOfKnowledgeIsNotUnderstated);
   CPPUNIT_TEST(ReportsOfReadersCarryAllMissedChanges);
   CPPUNIT_TEST(ReportTellsNeighboursThatDifferApart);
   CPPUNIT_TEST(DecoderReturnsOnAnyBytes);
@@ -391,7 +393,8 @@
   void SilentReaderIsReplacedBeforeTheBound()
   {
     static constexpr int kEntries = 20;
-    const milliseconds bound(2'000);
+    const milliseconds bound(2'000); // The shortest one that users have set.
+    static constexpr milliseconds kReadTime(500);
     std::vector<ReadSchedule> schedules(
       kEntries, ReadSchedule({ bound * 9 / 20, bound * 2 / 25, bound * 3 / 100 }));
     Instant now{ std::chrono::hours(1) };
@@ -409,7 +412,8 @@
               schedules[other].RecordKnown(now); // The report of the reader.
             }
           }
-          CPPUNIT_ASSERT(schedules[rank].KnownAsOf() + bound * 3 / 4 > now);
+          // The rest of the bound is for the read and its report.
+          CPPUNIT_ASSERT(schedules[rank].KnownAsOf() + bound - kReadTime > now);
         }
       }
     };
@@ -423,6 +427,27 @@
     CPPUNIT_ASSERT_EQUAL(reads[3], std::accumulate(reads.begin(), reads.end(), 0));
   }
 
+  // Guards against knowledge that counts as fresh because the response was slow, or because a
+  // neighbour states an impossible age.
+  void AgeOfKnowledgeIsNotUnderstated()
+  {
+    const Instant now{ std::chrono::hours(1) };
+    // The record arrived during the wait, at its end, and long after it.
+    const milliseconds wait(800);
+    CPPUNIT_ASSERT(ReadAsOf(now, now + milliseconds(300), wait) == now + milliseconds(300));
+    CPPUNIT_ASSERT(ReadAsOf(now, now + wait, wait) == now + wait);
+    CPPUNIT_ASSERT(ReadAsOf(now, now + milliseconds(1'500), wait) == now + wait);
+    CPPUNIT_ASSERT(ReadAsOf(now, now + milliseconds(700), milliseconds(0)) == now);
+
+    CPPUNIT_ASSERT(ReportAsOf(250, now) == now - milliseconds(250));
+    for (const std::int64_t age : { std::int64_t(-1),
+                                    std::numeric_limits<std::int64_t>::min(),
+                                    std::int64_t(60'001),
+                                    std::numeric_limits<std::int64_t>::max() }) {
+      CPPUNIT_ASSERT(!ReportAsOf(age, now));
+    }
+  }
+
   // Guards against a target that stays in use at an entry which missed a report, and against an
   // older report that undoes a newer one.
   void ReportsOfReadersCarryAllMissedChanges()
