--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(EndlessResponseIsAbandoned);
   CPPUNIT_TEST(OneEntryOfADomainReadsTheStore);
   CPPUNIT_TEST(LossOfTheReaderDelaysChangesByLessThanTheBound);
+  CPPUNIT_TEST(ListingThatMissedARecordIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -230,6 +231,29 @@
     }
   }
 
+  // Guards against a draining target that stays in use at an entry whose listing was made before
+  // the target's last record and ended after it: the reader of the domain does not report the
+  // target again.
+  void ListingThatMissedARecordIsNoticed()
+  {
+    for (int late = 1; late <= 2; ++late) {
+      PlatformDeployment deployment;
+      deployment.entries[late - 1].Kill();
+      deployment.SetFaults(deployment.StoreAddress(), { { "old_listings_of", "keyed.servers" } });
+      deployment.SetFaults(deployment.TargetAddress(1), { { "draining", true } });
+      const int other = 3 - late;
+      CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return IsDraining(deployment, other); }));
+      std::this_thread::sleep_for(milliseconds(4'000)); // No report lists the change any more.
+      deployment.entries[late - 1] = deployment.StartEntry(late);
+      CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+        const json dump = harness::FetchDump(deployment.EntryIp(late) + ":7001");
+        return dump.is_object() && dump.contains("targets") && dump["targets"].size() == 4;
+      }));
+      deployment.SetFaults(deployment.StoreAddress(), json::object());
+      CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] { return IsDraining(deployment, late); }));
+    }
+  }
+
 private:
   static bool IsDraining(const PlatformDeployment& aDeployment, int aEntry)
   {
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -96,6 +96,7 @@
       this->lostResponseShare = json.value("lose_answers", 0.0);
       this->hungTopic = json.value("hang_reads_of", "");
       this->endlessTopic = json.value("endless_reads_of", "");
+      this->KeepListing(json.value("old_listings_of", ""));
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/counters") {
       co_await RespondJson(aExchange, 200, this->CountersJson());
@@ -110,7 +111,9 @@
     } else if (path == "/log-read") {
       co_await this->Read(this->FindOrAddTopic(aRequest), aRequest, aExchange);
     } else if (path == "/log-newest") {
-      co_await this->ListNewest(this->FindOrAddTopic(aRequest), aExchange);
+      Topic& topic = this->FindOrAddTopic(aRequest);
+      const bool isOld = aRequest.Query("Topic") == this->oldListingTopic;
+      co_await this->ListNewest(topic, isOld ? this->oldOffsets : topic.newestOffsets, aExchange);
     } else {
       co_await RespondError(aExchange, 404, "unknown path");
     }
@@ -126,6 +129,16 @@
     return *topic;
   }
 
+  // From now on, lists a topic as it is now, with an end that moves on: what a reader gets whose
+  // listing was made before some records and whose end was taken after them.
+  void KeepListing(const std::string& aTopic)
+  {
+    this->oldListingTopic = aTopic;
+    const auto topic = this->topics.find(aTopic);
+    this->oldOffsets = topic == this->topics.end() ? std::map<std::string, std::uint64_t>()
+                                                   : topic->second->newestOffsets;
+  }
+
   nlohmann::json CountersJson() const
   {
     nlohmann::json bytesServed = nlohmann::json::object();
@@ -211,10 +224,12 @@
     co_await aExchange.Respond(200, {}, MakeBody(std::move(page)));
   }
 
-  asio::awaitable<void> ListNewest(Topic& aTopic, HttpExchange& aExchange)
+  asio::awaitable<void> ListNewest(Topic& aTopic,
+                                   const std::map<std::string, std::uint64_t>& aOffsets,
+                                   HttpExchange& aExchange)
   {
     nlohmann::json entries = nlohmann::json::array();
-    for (const auto& [key, offset] : aTopic.newestOffsets) {
+    for (const auto& [key, offset] : aOffsets) {
       const std::string value = SplitRecord(aTopic.records[offset]).second;
       entries.push_back({ { "Key", key }, { "Value", EncodeBase64(value) }, { "Offset", offset } });
     }
@@ -231,6 +246,8 @@
   bool outage = false;
   std::string hungTopic; // Reads of this topic hang; empty when none do.
   std::uint64_t hungReads = 0;
+  std::string oldListingTopic; // Listings of this topic are old; empty when none are.
+  std::map<std::string, std::uint64_t> oldOffsets; // What they contain.
   std::string endlessTopic; // Responses to reads of this topic do not end; empty when all end.
   std::uint64_t abandonedReads = 0; // Endless responses whose reader closed the connection.
   double lostResponseShare = 0;     // Share of appends that take effect but whose response is lost.
