--- a/include/sycamorepost/forward/TargetNotices.h
+++ b/include/sycamorepost/forward/TargetNotices.h
@@ -45,8 +45,6 @@
   // Drops what concerns targets that are not registered any more, some minutes after its recording.
   void Expire(const std::map<std::string, RegisteredTarget>& aTargets, Instant aNow);
 
-  std::size_t Size() const { return this->notices.size(); }
-
 private:
   struct Notice
   {
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -162,6 +162,10 @@
 void
 ForwardReducer::Impl::OnEvent(const PeerLeavingReport& aReport)
 {
+  if (!this->targets.contains(aReport.instance)) {
+    this->Count("forward_peer_reports_ignored", "leaving");
+    return;
+  }
   this->notices.Record(
     aReport.instance, aReport.startedAtMs, { .isLeaving = true, .pause = {} }, this->now);
 }
