Log the prompt parts and the progress of failed attempts

Cause: when engines crash one after the other, the log cannot tell whether their requests have a part of the prompt in common, nor which of them had begun to respond. Change: the parts of a prompt that other requests may share are decoded, and a line attempt-failed names them and the number of events received.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -16,6 +16,7 @@
 #include "sycamorepost/Effects.h"
 #include "sycamorepost/forward/EntryGroup.h"
 #include "sycamorepost/forward/LoadTracker.h"
+#include "sycamorepost/forward/PromptParts.h"
 #include "sycamorepost/forward/RouteTable.h"
 #include "sycamorepost/forward/TargetDirectory.h"
 #include "sycamorepost/forward/TargetNotices.h"
@@ -40,6 +41,7 @@
   std::uint32_t promptTokens = 0;           // 0 for a plain call.
   std::uint32_t outputTokens = 0;
   std::uint64_t fingerprint = 0; // Hash of key, path and body.
+  PartSet promptParts;           // The parts of the prompt that other requests may share.
 };
 
 // The caller has closed its connection.
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sycamorepost/forward/PromptParts.h"
+
 namespace sycamorepost {
 
 using internal::kMinRemaining;
@@ -97,6 +99,7 @@
   std::string newEvents;
   const char* fault = nullptr;
   for (const StreamEvent& event : aState.attempt->events.Feed(aBytes)) {
+    aState.attempt->eventCount += event.isComment ? 0 : 1;
     if (event.id && aState.lastEventId && *event.id <= *aState.lastEventId) {
       continue;
     }
@@ -238,6 +241,8 @@
             { { "target", instance },
               { "reason", aReason },
               { "run", std::to_string(aState.runs) },
+              { "events", std::to_string(aState.attempt->eventCount) },
+              { "parts", FormatParts(aState.request.promptParts) },
               { "age_ms", std::to_string(ToMillis(this->now - aState.attempt->startedAt)) } },
             true);
   const bool mayRetry = this->MayRetry(aState);
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -49,9 +49,10 @@
   Instant startedAt;
   std::optional<int> status; // Empty until the response head is received.
   std::vector<Field> fields;
-  std::string body;       // Of a response that is passed on as a whole.
-  bool isStream = false;  // Its events are passed on as they are received.
-  bool delivered = false; // At least one of its events was passed on.
+  std::string body;             // Of a response that is passed on as a whole.
+  bool isStream = false;        // Its events are passed on as they are received.
+  bool delivered = false;       // At least one of its events was passed on.
+  std::uint32_t eventCount = 0; // Complete events received.
   EventStreamParser events;
 };
 
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -12,6 +12,7 @@
 #include "runtime/DecisionLog.h"
 #include "runtime/Settings.h"
 #include "sycamorepost/forward/EventStream.h"
+#include "sycamorepost/forward/PromptParts.h"
 
 namespace sycamorepost::platform {
 namespace {
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(DecodersReturnOnCorruptedInput);
   CPPUNIT_TEST(StorePagesAreDecoded);
   CPPUNIT_TEST(HeaderFieldsAreTranslated);
+  CPPUNIT_TEST(OddPromptPartsAreDecoded);
   CPPUNIT_TEST(AnnouncementsOfTargetsAreDecoded);
   CPPUNIT_TEST(RegistrationsMissingAfterOutageExpireLater);
   CPPUNIT_TEST(TargetsDeregisteredAfterOutageAreRemovedInTime);
@@ -160,6 +162,7 @@
     http.fields.set("X-Sycamorepost-Request-Id", "9c41");
     http.fields.set("X-Sycamorepost-Deadline", "1500");
     http.fields.set("X-Sycamorepost-Token-Counts", "1460,80");
+    http.fields.set("X-Sycamorepost-Prompt-Prefix", "5c1e07a2:800, 91BD3F06:410,e4402b7d:250");
     http.fields.set("X-Sycamorepost-Tenant", "somebody");
     http.fields.set("Last-Event-Id", "12");
     http.fields.set("Authorization", "Bearer k1");
@@ -170,6 +173,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("k1"), *request.key);
     CPPUNIT_ASSERT_EQUAL(1460U, request.promptTokens);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), *request.resumeAfter);
+    // The last part belongs to the request alone.
+    CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2,91bd3f06"), FormatParts(request.promptParts));
 
     StartAttempt start;
     start.address = "10.0.0.9:80";
@@ -203,6 +208,29 @@
                          EncodeRefusalFields("", std::chrono::milliseconds(250)).back().second);
   }
 
+  void OddPromptPartsAreDecoded()
+  {
+    const auto decode = [](const std::string& aText) {
+      HttpRequest http;
+      http.body = MakeBody("");
+      http.fields.set("X-Sycamorepost-Prompt-Prefix", aText);
+      return DecodeRequest(http, 1).promptParts;
+    };
+    CPPUNIT_ASSERT(decode("").empty());
+    CPPUNIT_ASSERT(decode("a:1").empty());
+    CPPUNIT_ASSERT(decode(",,:5,b:1").empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("ffffffffffffffff"),
+                         FormatParts(decode("ffffffffffffffff:1,ffffffffffffffff:2,b:1")));
+    // Ids that are no such numbers are told apart all the same.
+    CPPUNIT_ASSERT(decode("no-hex:1,b:1") != decode("other:1,b:1"));
+    CPPUNIT_ASSERT(decode("10000000000000000:1,b:1") != decode("20000000000000000:1,b:1"));
+    std::string many;
+    for (int i = 0; i < 2'000; ++i) {
+      many += std::to_string(i) + ":1,";
+    }
+    CPPUNIT_ASSERT_EQUAL(kMaxPromptParts, decode(many).size());
+  }
+
   void AnnouncementsOfTargetsAreDecoded()
   {
     const auto decode = [](int aStatus, const std::string& aRetryAfter) {
