Quarantine parts of prompts that crash engines

Cause: the guard against crashing requests counts whole requests, by a hash of key, path and body. No two of these requests are alike, so its count never rises. Change: entries report to each other which parts the prompts of a crashed engine had. A part that is in three crashes, with no response that goes on in between, is quarantined, together with those that cannot be told apart from it; only requests with all of them are refused, with the time of the next trial. Why it works: the part that crashes engines is in each crash and in no response that goes on, and any other part soon is.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/Hash.h"
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/PartQuarantine.h"
 #include "sycamorepost/forward/StoreSharing.h"
 #include "sycamorepost/forward/TargetLoadReport.h"
 
@@ -318,16 +319,18 @@
                EntryLoad,
                AbortNotice,
                TargetLeavingNotice,
-               DomainLoadReport, // To an entry of another failure domain; relayed there.
-               StoreReport>;     // To the other entries of the failure domain.
+               DomainLoadReport,  // To an entry of another failure domain; relayed there.
+               StoreReport,       // To the other entries of the failure domain.
+               TargetCrashReport, // To all entries.
+               QuarantineReport>; // To all entries, or relayed in another failure domain.
 
 // The names of the messages in the order of the variant, used as metric labels.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
-  "probe",          "probe-reply", "start",       "refused",    "chunk",      "finished",
-  "cancel",         "ping",        "pong",        "leaving",    "suspect",    "cleared",
-  "rules-ask",      "rules-tell",  "load",        "hold-ask",   "hold-reply", "hold-release",
-  "span-put",       "span-held",   "span-done",   "span-moved", "entry-load", "break",
-  "target-leaving", "domain-load", "store-report"
+  "probe",          "probe-reply", "start",        "refused",      "chunk",      "finished",
+  "cancel",         "ping",        "pong",         "leaving",      "suspect",    "cleared",
+  "rules-ask",      "rules-tell",  "load",         "hold-ask",     "hold-reply", "hold-release",
+  "span-put",       "span-held",   "span-done",    "span-moved",   "entry-load", "break",
+  "target-leaving", "domain-load", "store-report", "target-crash", "quarantine"
 };
 
 // A message with its sender and the incarnations of both ends.
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -16,7 +16,7 @@
 #include "sycamorepost/Effects.h"
 #include "sycamorepost/forward/EntryGroup.h"
 #include "sycamorepost/forward/LoadTracker.h"
-#include "sycamorepost/forward/PromptParts.h"
+#include "sycamorepost/forward/PartQuarantine.h"
 #include "sycamorepost/forward/RouteTable.h"
 #include "sycamorepost/forward/TargetDirectory.h"
 #include "sycamorepost/forward/TargetNotices.h"
@@ -87,6 +87,13 @@
   std::string reason;
 };
 
+// The result of a CheckTarget.
+struct TargetChecked
+{
+  std::string instance;
+  bool refusesConnections = false; // Nothing listens at the address.
+};
+
 // The end of a command to reserve or release memory.
 struct ReservationCommandEnd
 {
@@ -152,6 +159,13 @@
   std::int64_t startedAtMs = 0; // See RegisteredTarget.
 };
 
+// A peer reports what is quarantined or cleared.
+struct PeerQuarantineReport
+{
+  std::string peer;
+  QuarantineReport report;
+};
+
 using ForwardEvent = std::variant<ForwardRequest,
                                   ForwardCallerDisconnected,
                                   AttemptHead,
@@ -167,6 +181,9 @@
                                   ConfigurationReadEnd,
                                   PeerAbortReport,
                                   PeerLeavingReport,
+                                  TargetChecked,
+                                  TargetCrashReport,
+                                  PeerQuarantineReport,
                                   Wake>;
 
 // ---- Effects ----
@@ -277,6 +294,27 @@
   std::vector<std::string> recipients;
 };
 
+// Opens a connection to a target and closes it again; TargetChecked tells the result.
+struct CheckTarget
+{
+  std::string instance;
+  std::string address;
+};
+
+// Reports a crash to the peers at the given addresses.
+struct BroadcastCrash
+{
+  TargetCrashReport report;
+  std::vector<std::string> recipients;
+};
+
+// Reports what is quarantined or cleared to the peers at the given addresses.
+struct BroadcastQuarantine
+{
+  QuarantineReport report;
+  std::vector<std::string> recipients;
+};
+
 // Requests the configuration from a peer, which responds if it has a newer version.
 struct RequestConfiguration
 {
@@ -305,6 +343,9 @@
                                    SendDomainLoad,
                                    BroadcastAbort,
                                    BroadcastLeaving,
+                                   CheckTarget,
+                                   BroadcastCrash,
+                                   BroadcastQuarantine,
                                    RequestConfiguration,
                                    CountEvent,
                                    LogDecision>;
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -168,6 +168,10 @@
                   configurationOffset,
                   registrations)
 
+SYCAMOREPOST_WIRE(TargetCrashReport, instance, startedAtMs, prompts)
+SYCAMOREPOST_WIRE(QuarantinedParts, parts, trials, trialInMs)
+SYCAMOREPOST_WIRE(QuarantineReport, quarantined, cleared, isRelayed)
+
 namespace {
 
 template<std::size_t Index = 0>
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -7,6 +7,7 @@
 
 namespace sycamorepost {
 
+using internal::kEventsOfProgress;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
 using internal::RequestState;
@@ -51,6 +52,7 @@
     }
     if (aHead.instanceMismatch) {
       this->loadTracker.RecordUnreachable(instance, this->now);
+      this->ConfirmCrash(instance);
     }
     const std::string fault =
       aHead.failedHelperAddress.empty() ? "" : ", at fault " + aHead.failedHelperAddress;
@@ -120,6 +122,9 @@
   if (!newEvents.empty()) {
     this->PassOnEvents(aState, std::move(newEvents));
   }
+  if (aState.attempt->eventCount >= kEventsOfProgress) {
+    this->RecordProgress(aState);
+  }
   if (fault) {
     this->FailAttempt(aState, fault, true);
   }
@@ -177,6 +182,7 @@
   }
   if (aEnd.kind == AttemptEndKind::Aborted || !state->attempt->status) {
     this->RecordAbort(*state);
+    this->SuspectCrash(*state);
     this->FailAttempt(*state, "the answer broke off: " + aEnd.reason, false);
     return;
   }
@@ -188,6 +194,7 @@
     this->FailAttempt(*state, "the stream ended within an event", false);
     return;
   }
+  this->RecordProgress(*state);
   this->loadTracker.RecordSuccess(instance);
   if (!state->headSent) {
     this->effects.emplace_back(
@@ -213,6 +220,9 @@
   } else {
     this->loadTracker.RecordSuccess(instance);
   }
+  if (status / 100 == 2) {
+    this->RecordProgress(aState);
+  }
   SendResponse response;
   response.handle = aState.request.handle;
   response.status = status;
@@ -246,6 +256,7 @@
               { "age_ms", std::to_string(ToMillis(this->now - aState.attempt->startedAt)) } },
             true);
   const bool mayRetry = this->MayRetry(aState);
+  aState.isTrial = false;
   this->CloseAttempt(aState, aCancel);
   aState.triedInstances.insert(instance);
   if (mayRetry && this->TrySpendRetry(aState)) {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,6 +1,6 @@
 // The state of the forwarding reducer. Its member functions are defined in ForwardAdmission.cpp,
-// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardReservations.cpp, ForwardConfiguration.cpp and
-// ForwardReducer.cpp.
+// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardCrashes.cpp, ForwardReservations.cpp,
+// ForwardConfiguration.cpp and ForwardReducer.cpp.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
@@ -20,6 +20,10 @@
 // callers wait for one, so that another target can still respond.
 inline constexpr Duration kMinStallTimeout = std::chrono::milliseconds(900);
 
+// The number of events from which on a response has got on: an engine that its prompt crashes does
+// so within two passes.
+inline constexpr std::uint32_t kEventsOfProgress = 3;
+
 // With less remaining time than this, no target could respond.
 inline constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 
@@ -41,6 +45,15 @@
   std::uint32_t attempts = 1;
 };
 
+// A target whose connections broke while prompts ran on it; a check shows whether it has crashed.
+struct SuspectedCrash
+{
+  RegisteredTarget target;
+  std::vector<PartSet> prompts;       // Those whose response had not got on.
+  Instant checkAt = Instant::max();   // When the check is due.
+  Instant expiresAt = Instant::max(); // When a crash that was not confirmed is forgotten.
+};
+
 // One exchange with a target.
 struct Attempt
 {
@@ -79,6 +92,7 @@
   std::uint32_t unreachableAttempts = 0; // Attempts without a connection.
   std::uint32_t placements = 0;
   bool hasRetry = false; // A retry is spent already.
+  bool isTrial = false;  // It runs although parts of its prompt are quarantined.
   bool headSent = false;
   std::optional<std::uint64_t> lastEventId; // The last event that the caller has.
   Instant lastEventAt;                      // When it was passed on.
@@ -113,6 +127,9 @@
   void OnEvent(const ConfigurationReadEnd& aEnd);
   void OnEvent(const PeerAbortReport& aReport);
   void OnEvent(const PeerLeavingReport& aReport);
+  void OnEvent(const TargetChecked& aChecked);
+  void OnEvent(const TargetCrashReport& aReport);
+  void OnEvent(const PeerQuarantineReport& aReport);
   void OnEvent(const Wake& aWake);
 
   // Schedules a broadcast when the last event changed the load of this entry.
@@ -165,6 +182,16 @@
   void OnDeadline(internal::RequestState& aState);
   void EndRequest(internal::RequestState& aState);
 
+  // Crashes of targets, and the parts of prompts that cause them.
+  bool MayRun(internal::RequestState& aState);
+  void BeginTrial(internal::RequestState& aState);
+  void RecordProgress(const internal::RequestState& aState);
+  void SuspectCrash(const internal::RequestState& aState);
+  void ConfirmCrash(const std::string& aInstance);
+  void ShareQuarantined(std::vector<std::string> aRecipients);
+  void RunCrashWork();
+  Instant NextCrashWork() const;
+
   // Reservations.
   bool ReserveMemory(internal::RequestState& aState, const Placement& aPlacement);
   void SendReserve(internal::HelperReservation& aReservation, std::uint64_t aHandle);
@@ -220,8 +247,10 @@
     std::uint32_t count = 0;
     Instant expiresAt;
   };
-  std::map<std::uint64_t, AbortRecord> aborts;         // By fingerprint.
-  std::map<std::uint64_t, Instant> recentRefusals;     // Expiry by fingerprint.
+  std::map<std::uint64_t, AbortRecord> aborts; // By fingerprint.
+  PartQuarantine quarantine;
+  std::map<std::string, internal::SuspectedCrash> suspectedCrashes; // By instance.
+  std::map<std::uint64_t, Instant> recentRefusals;                  // Expiry by fingerprint.
   std::set<std::pair<Instant, std::uint64_t>> timers;  // Handles by the time of their wake-up.
   std::map<std::uint64_t, std::uint64_t> attemptOwner; // Handle by attempt.
   std::map<std::uint64_t, std::uint64_t> commandOwner; // Handle by command.
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -58,6 +58,9 @@
 void
 ForwardReducer::Impl::Launch(RequestState& aState)
 {
+  if (!this->MayRun(aState)) {
+    return;
+  }
   const ServiceTraits* service = aState.table->FindService(aState.service);
   const Duration remaining = aState.deadline - this->now;
   if (!service || remaining < kMinRemaining || ++aState.placements > kMaxPlacements) {
@@ -149,6 +152,7 @@
 void
 ForwardReducer::Impl::StartPlaced(RequestState& aState, Placement aPlacement)
 {
+  this->BeginTrial(aState);
   Attempt attempt;
   attempt.id = ++this->attemptSequence;
   attempt.startedAt = this->now;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -109,6 +109,7 @@
           BroadcastLeaving{ instance, target.startedAtMs, { aReport.peer } });
       }
     }
+    this->ShareQuarantined({ aReport.peer });
   }
   this->peers[aReport.peer] = { aReport.incarnation, this->now };
   if (aReport.isSnapshot || isNew) {
@@ -253,6 +254,13 @@
     this->notices.Expire(this->targets, this->now);
     std::erase_if(this->aborts,
                   [this](const auto& aAbort) { return aAbort.second.expiresAt < this->now; });
+    this->quarantine.Expire(this->now);
+    std::erase_if(this->suspectedCrashes,
+                  [this](const auto& aItem) { return aItem.second.expiresAt < this->now; });
+    if (this->DomainRank(this->now) < kDomainReporters) {
+      this->ShareQuarantined(this->group.DirectPeers());
+      this->ShareQuarantined(this->group.TakeRelays());
+    }
     std::erase_if(this->recentRefusals,
                   [this](const auto& aRefusal) { return aRefusal.second < this->now; });
     for (auto& [service, budget] : this->budgets) {
@@ -260,6 +268,7 @@
     }
     this->broadcastAt = this->now;
   }
+  this->RunCrashWork();
   if (this->now >= this->broadcastAt) {
     this->broadcastAt = Instant::max();
     this->effects.emplace_back(
@@ -479,8 +488,11 @@
 std::optional<Instant>
 ForwardReducer::Impl::NextWake() const
 {
-  Instant next = std::min(
-    { this->housekeepingAt, this->broadcastAt, this->domainReportAt, this->fetcher.NextDue() });
+  Instant next = std::min({ this->housekeepingAt,
+                            this->broadcastAt,
+                            this->domainReportAt,
+                            this->fetcher.NextDue(),
+                            this->NextCrashWork() });
   if (!this->timers.empty()) {
     next = std::min(next, this->timers.begin()->first);
   }
@@ -531,6 +543,12 @@
   for (const auto& [service, budget] : this->budgets) {
     dump["retry_budget"][service] = budget.Level();
   }
+  for (const QuarantinedParts& quarantined : this->quarantine.Snapshot(aNow)) {
+    dump["quarantined"].push_back({ { "parts", FormatParts(quarantined.parts) },
+                                    { "trials", quarantined.trials },
+                                    { "trial_in_ms", quarantined.trialInMs } });
+  }
+  dump["crashes_not_explained"] = this->quarantine.CrashCount();
   return dump;
 }
 
--- a/src/core/forward/ForwardReservations.cpp
+++ b/src/core/forward/ForwardReservations.cpp
@@ -124,7 +124,9 @@
                 placement.placedWork.end(),
                 [this](const PlacedWork& aWork) { return this->IsUsable(aWork.instance); });
   if (granted && isUsable) {
-    this->StartPlaced(aState, std::move(placement));
+    if (this->MayRun(aState)) {
+      this->StartPlaced(aState, std::move(placement));
+    }
     return;
   }
   this->ReleaseReservations(aState);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -145,6 +145,21 @@
   co_return reply;
 }
 
+asio::awaitable<bool>
+RefusesConnections(std::string aAddress)
+{
+  // A live VM replies within a round trip; this includes one retransmission.
+  static constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(kReplyTimeout);
+  const auto [error] = co_await stream.async_connect(*endpoint, kAsTuple);
+  co_return error == asio::error::connection_refused;
+}
+
 HttpStream::HttpStream(asio::any_io_executor aExecutor)
   : stream(std::move(aExecutor))
 {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -234,6 +234,24 @@
                       TargetLeavingNotice{ aBroadcast.instance, aBroadcast.startedAtMs });
 }
 
+void
+ForwardDaemon::Execute(CheckTarget& aCheck)
+{
+  asio::co_spawn(this->context, this->RunCheck(std::move(aCheck)), asio::detached);
+}
+
+void
+ForwardDaemon::Execute(BroadcastCrash& aBroadcast)
+{
+  this->bus.SendToAll(aBroadcast.recipients, std::move(aBroadcast.report));
+}
+
+void
+ForwardDaemon::Execute(BroadcastQuarantine& aBroadcast)
+{
+  this->bus.SendToAll(aBroadcast.recipients, std::move(aBroadcast.report));
+}
+
 void
 ForwardDaemon::Execute(RequestConfiguration& aRequest)
 {
@@ -273,6 +291,10 @@
     this->Step(PeerAbortReport{ notice->fingerprint });
   } else if (const auto* leaving = std::get_if<TargetLeavingNotice>(&aEnvelope.message)) {
     this->Step(PeerLeavingReport{ leaving->instance, leaving->startedAtMs });
+  } else if (const auto* crash = std::get_if<TargetCrashReport>(&aEnvelope.message)) {
+    this->Step(*crash);
+  } else if (const auto* quarantine = std::get_if<QuarantineReport>(&aEnvelope.message)) {
+    this->Step(PeerQuarantineReport{ aEnvelope.from, *quarantine });
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
     this->SendConfiguration(aEnvelope.from, request->version);
   } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -65,6 +65,9 @@
   void Execute(SendDomainLoad& aSend);
   void Execute(BroadcastAbort& aBroadcast);
   void Execute(BroadcastLeaving& aBroadcast);
+  void Execute(CheckTarget& aCheck);
+  void Execute(BroadcastCrash& aBroadcast);
+  void Execute(BroadcastQuarantine& aBroadcast);
   void Execute(RequestConfiguration& aRequest);
   void Execute(CountEvent& aCount);
   void Execute(LogDecision& aDecision);
@@ -78,6 +81,7 @@
                                    HttpCall aCall,
                                    std::string aRequestId,
                                    std::shared_ptr<HttpStream> aStream);
+  asio::awaitable<void> RunCheck(CheckTarget aCheck);
   asio::awaitable<void> RunReservationCommand(SendReservationCommand aCommand);
 
   void OnMessage(const Envelope& aEnvelope);
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -179,6 +179,13 @@
   }
 }
 
+asio::awaitable<void>
+ForwardDaemon::RunCheck(CheckTarget aCheck)
+{
+  const bool refuses = co_await RefusesConnections(aCheck.address);
+  this->Step(TargetChecked{ aCheck.instance, refuses });
+}
+
 asio::awaitable<void>
 ForwardDaemon::RunReservationCommand(SendReservationCommand aCommand)
 {
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -515,8 +515,13 @@
     StoreReport storeReport;
     storeReport.registrations.changed = { { .instance = "engine-1", .address = "10.0.0.9:80" } };
     storeReport.registrations.removed = { "engine-2" };
-    for (const Message& message :
-         { Message(report), Message(TargetLeavingNotice{ "engine-1", 7 }), Message(storeReport) }) {
+    const TargetCrashReport crash{ "engine-1", 7, { { 1, 2 }, { 3 } } };
+    const QuarantineReport quarantine{ { { { 1, 2 }, 3, 4'000 } }, { 5 }, true };
+    for (const Message& message : { Message(report),
+                                    Message(TargetLeavingNotice{ "engine-1", 7 }),
+                                    Message(storeReport),
+                                    Message(crash),
+                                    Message(quarantine) }) {
       Envelope envelope;
       envelope.from = AddressOf(1);
       envelope.message = message;
--- a/test/harness/CrashFleet.cpp
+++ b/test/harness/CrashFleet.cpp
@@ -273,6 +273,15 @@
     this->Broadcast(aEntry, domain->recipients, domain->report, false);
   } else if (const auto* aborted = std::get_if<BroadcastAbort>(&aEffect)) {
     this->Broadcast(aEntry, aborted->recipients, PeerAbortReport{ aborted->fingerprint }, false);
+  } else if (const auto* crash = std::get_if<BroadcastCrash>(&aEffect)) {
+    this->Broadcast(aEntry, crash->recipients, crash->report, true);
+  } else if (const auto* quarantine = std::get_if<BroadcastQuarantine>(&aEffect)) {
+    const PeerQuarantineReport report{ AddressOf(aEntry), quarantine->report };
+    this->Broadcast(aEntry, quarantine->recipients, report, true);
+  } else if (const auto* check = std::get_if<CheckTarget>(&aEffect)) {
+    this->StepLater(aEntry,
+                    2 * kNetworkDelay,
+                    TargetChecked{ check->instance, !this->IsListening(check->address) });
   } else if (const auto* begin = std::get_if<BeginResponse>(&aEffect)) {
     this->requests[begin->handle].hasBegun = true;
   } else if (const auto* response = std::get_if<SendResponse>(&aEffect)) {
@@ -361,6 +370,15 @@
   return found == this->engines.end() ? nullptr : found->get();
 }
 
+// Returns whether any incarnation of an engine listens at an address.
+bool
+CrashFleet::IsListening(const std::string& aAddress) const
+{
+  return std::any_of(this->engines.begin(), this->engines.end(), [&](const auto& aEngine) {
+    return aEngine->address == aAddress && aEngine->isUp;
+  });
+}
+
 void
 CrashFleet::Serve(int aEntry, const StartAttempt& aStart)
 {
--- a/test/harness/CrashFleet.h
+++ b/test/harness/CrashFleet.h
@@ -84,7 +84,7 @@
   // Returns the number of sound requests sent in a period that were refused.
   int RefusedCount(Instant aFrom, Instant aUntil) const;
 
-  const FleetRequest& Request(std::uint64_t aNumber) const { return this->requests.at(aNumber); }
+  const std::map<std::uint64_t, FleetRequest>& Requests() const { return this->requests; }
   nlohmann::json Dump(int aEntry) const;
   Instant Now() const { return this->now; }
 
@@ -121,6 +121,7 @@
   void CrashEngine(Engine& aEngine);
   void RegisterTargets();
   Engine* FindEngine(const std::string& aInstance);
+  bool IsListening(const std::string& aAddress) const;
 
   CrashFleetPlan plan;
   std::mt19937_64 random;
