Do not take an empty stream that ends with its connection for a whole one

Callers saw: nothing of it so far; found while looking for where a crash can look like the end of a response. Cause: a response that states neither a length nor chunks ends with its connection. An engine that crashes between the head and the first event then leaves a stream that counts as complete, and its prompt as harmless. Change: such a stream is complete only behind an event; otherwise the attempt is aborted and may be made again elsewhere. Measured: StreamThatEndsWithItsConnectionEarlyIsNotComplete failed without the change and passes with it; ForwardReducerTest 27 of 27.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -85,6 +85,8 @@
   std::uint64_t attempt = 0;
   AttemptEndKind kind = AttemptEndKind::Aborted;
   std::string reason;
+  // When complete: the end of the connection is what ended the response, as it stated no length.
+  bool endedByClose = false;
 };
 
 // The result of a CheckTarget.
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -7,6 +7,7 @@
 
 namespace sycamorepost {
 
+using internal::Attempt;
 using internal::kEventsOfProgress;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
@@ -24,6 +25,18 @@
 constexpr std::size_t kMaxWholeResponseBytes = 16 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+// Returns why a stream that ended is not complete, or null. When the connection's end is all that
+// ends it, a stream without events cannot be told from one of an engine that has crashed.
+const char*
+FindEarlyEnd(const Attempt& aAttempt, const AttemptEnd& aEnd)
+{
+  if (!aAttempt.events.IsEmpty()) {
+    return "the stream ended within an event";
+  }
+  return aEnd.endedByClose && aAttempt.eventCount == 0 ? "the stream ended without an event"
+                                                       : nullptr;
+}
+
 } // namespace
 
 void
@@ -190,8 +203,10 @@
     this->CompleteBuffered(*state);
     return;
   }
-  if (!state->attempt->events.IsEmpty()) {
-    this->FailAttempt(*state, "the stream ended within an event", false);
+  if (const char* fault = FindEarlyEnd(*state->attempt, aEnd)) {
+    this->RecordAbort(*state);
+    this->SuspectCrash(*state);
+    this->FailAttempt(*state, fault, false);
     return;
   }
   this->RecordProgress(*state);
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -264,6 +264,10 @@
   // Returns whether the whole body has arrived.
   bool Complete() const { return this->complete; }
 
+  // Returns whether the response states neither a length nor chunks, so that the end of the
+  // connection is the end of its body. Valid once the head has arrived.
+  bool EndsWithConnection() const { return this->parser.need_eof(); }
+
   // Returns whether the last read failed because nothing arrived within its timeout.
   bool TimedOut() const { return this->timedOut; }
 
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -170,6 +170,7 @@
     }
     end.kind = aStream->Complete() ? AttemptEndKind::Complete : AttemptEndKind::Aborted;
     end.reason = aStream->Error();
+    end.endedByClose = aStream->EndsWithConnection();
   } else if (head.stage == HttpStage::NotConnected) {
     end.kind = AttemptEndKind::NotConnected;
   }
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -191,6 +191,7 @@
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(EventsBeforeMissingEventAreDelivered);
   CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
+  CPPUNIT_TEST(StreamThatEndsWithItsConnectionEarlyIsNotComplete);
   CPPUNIT_TEST(EndlessBytesEndTheAttempt);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
   CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
@@ -395,6 +396,35 @@
     CPPUNIT_ASSERT(driver.responses.empty());
   }
 
+  // Guards against an empty stream, complete to its caller, of an engine that crashed before the
+  // first event of a response without length and chunks.
+  void StreamThatEndsWithItsConnectionEarlyIsNotComplete()
+  {
+    const auto endByClose = [](ForwardReducerDriver& aDriver) {
+      aDriver.Step(AttemptEnd{ aDriver.starts.back().attempt, AttemptEndKind::Complete, "", true });
+    };
+    ForwardReducerDriver driver;
+    driver.SendRequest("/draft/", 5000);
+    driver.ReceiveHead(200);
+    endByClose(driver);
+    CPPUNIT_ASSERT_EQUAL(0, driver.completed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+
+    // The same within an event.
+    driver.ReceiveHead(200);
+    driver.ReceiveData(MakeEvent(1) + "id: 2\nda");
+    endByClose(driver);
+    CPPUNIT_ASSERT_EQUAL(0, driver.completed);
+
+    // Behind an event the connection's end is the end of the stream.
+    ForwardReducerDriver whole;
+    whole.SendRequest("/draft/", 5000);
+    whole.ReceiveHead(200);
+    whole.ReceiveData(MakeEvent(1));
+    endByClose(whole);
+    CPPUNIT_ASSERT_EQUAL(1, whole.completed);
+  }
+
   // Guards against memory that grows with a response or an event without end.
   void EndlessBytesEndTheAttempt()
   {
