Skip odd registrations of other writers

Report of another operator: one odd entry among those of the engines ended the machines that read the list, or had them stop following it. Here: deep nesting, numbers that overflow and ports out of range were refused already. But a name with any bytes was taken and sent in a header field, a negative or huge number of slots was taken, and the name of the last entry of a page went into the next request as it was, so that a listing could not go on behind it.

--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -99,6 +99,7 @@
   CPPUNIT_TEST(OneEntryOfADomainReadsTheStore);
   CPPUNIT_TEST(LossOfTheReaderDelaysChangesByLessThanTheBound);
   CPPUNIT_TEST(ListingThatMissedARecordIsNoticed);
+  CPPUNIT_TEST(OddEntriesAmongTheTargetsAreSkipped);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -254,6 +255,65 @@
     }
   }
 
+  // Guards against entries that end, or stop following the targets, because of a registration that
+  // another writer left: deeply nested, with numbers out of range, or under an odd name.
+  void OddEntriesAmongTheTargetsAreSkipped()
+  {
+    PlatformDeployment deployment;
+    deployment.SetFaults(deployment.StoreAddress(), { { "listing_page", 1 } });
+    const json valid{ { "Service", "quizmind" }, { "Address", deployment.TargetAddress(1) },
+                      { "Zone", "hobart" },      { "Slots", 16 },
+                      { "State", "ready" },      { "born", 1 } };
+    const auto with = [&valid](const char* aName, const json& aValue) {
+      json changed = valid;
+      changed[aName] = aValue;
+      return changed.dump();
+    };
+    static constexpr std::size_t kDepth = 100'000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    std::string nestedField = valid.dump();
+    nestedField.insert(1, "\"More\":" + nested + ",");
+    std::string overflow = valid.dump();
+    overflow.insert(1, "\"Seq\":1e999999,");
+    const std::string ip =
+      deployment.TargetAddress(1).substr(0, deployment.TargetAddress(1).find(':'));
+    const std::vector<std::pair<std::string, std::string>> odd{
+      { "a-nested", nested },
+      { "a-unfinished", std::string(kDepth, '{') },
+      { "a-overflow", overflow },
+      { "a-slots", with("Slots", -1) },
+      { "a-many-slots", with("Slots", 1e300) },
+      { "a-port", with("Address", ip + ":99999") },
+      { "a-negative-port", with("Address", ip + ":-1") },
+      { "a-zero-port", with("Address", ip + ":0") },
+      { "a-bytes", "\xff\xfe\x01" },
+      { "a name & part=1#%zz?", valid.dump() },
+      { "b\r\nX-Injected: 1", valid.dump() },
+    };
+    for (const auto& [name, value] : odd) {
+      deployment.Publish("keyed.servers", name, value);
+    }
+    // A registration with more than it needs is used all the same.
+    deployment.Publish("keyed.servers", "engine-nested", nestedField);
+    const auto knowsTargets = [&deployment](int aEntry) {
+      const json dump = harness::FetchDump(deployment.EntryIp(aEntry) + ":7001");
+      return dump.is_object() && dump.contains("targets") && dump["targets"].size() == 5;
+    };
+    // One entry reads on, the other one starts and lists all.
+    deployment.entries[1].Kill();
+    deployment.entries[1] = deployment.StartEntry(2);
+    for (int entry = 1; entry <= 2; ++entry) {
+      CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return knowsTargets(entry); }));
+      CPPUNIT_ASSERT(deployment.entries[entry - 1].IsRunning());
+    }
+    deployment.SetFaults(deployment.TargetAddress(1), { { "draining", true } });
+    for (int entry = 1; entry <= 2; ++entry) {
+      CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] { return IsDraining(deployment, entry); }));
+      CPPUNIT_ASSERT_EQUAL(
+        200, deployment.SendRequest(entry, "/book/x", "r" + std::to_string(entry), 0).status);
+    }
+  }
+
 private:
   static bool IsDraining(const PlatformDeployment& aDeployment, int aEntry)
   {
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -98,9 +98,16 @@
            R"({"Service":1})",
            R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1})",
            R"({"Service":"s","Address":"nowhere","Zone":"z","Slots":1,"State":"ready"})",
-           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"up"})" }) {
+           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1,"State":"up"})",
+           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":-1,"State":"ready"})",
+           R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":1e300,"State":"ready"})",
+           R"({"Service":"s","Address":"10.0.0.9:99999","Zone":"z","Slots":1,"State":"ready"})" }) {
       CPPUNIT_ASSERT_MESSAGE(text, !DecodeRegistration("i-1", text, reason));
     }
+    // The name is sent in a header field.
+    for (const char* name : { "", "a b", "i\r\nX-More: 1", "i\xff" }) {
+      CPPUNIT_ASSERT_MESSAGE(name, !DecodeRegistration(name, kRegistration, reason));
+    }
   }
 
   void DecodersReturnOnCorruptedInput()
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -64,6 +64,21 @@
   return aPath == "/log-read" || aPath == "/log-newest";
 }
 
+std::string
+PercentDecode(const std::string& aText)
+{
+  std::string decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      decoded += static_cast<char>(std::stoi(aText.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      decoded += aText[i];
+    }
+  }
+  return decoded;
+}
+
 struct Topic
 {
   explicit Topic(asio::io_context& aContext)
@@ -97,6 +112,7 @@
       this->hungTopic = json.value("hang_reads_of", "");
       this->endlessTopic = json.value("endless_reads_of", "");
       this->KeepListing(json.value("old_listings_of", ""));
+      this->listingPageEntries = json.value("listing_page", std::size_t{ 500 });
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/counters") {
       co_await RespondJson(aExchange, 200, this->CountersJson());
@@ -113,7 +129,10 @@
     } else if (path == "/log-newest") {
       Topic& topic = this->FindOrAddTopic(aRequest);
       const bool isOld = aRequest.Query("Topic") == this->oldListingTopic;
-      co_await this->ListNewest(topic, isOld ? this->oldOffsets : topic.newestOffsets, aExchange);
+      co_await this->ListNewest(topic,
+                                isOld ? this->oldOffsets : topic.newestOffsets,
+                                PercentDecode(aRequest.Query("After")),
+                                aExchange);
     } else {
       co_await RespondError(aExchange, 404, "unknown path");
     }
@@ -226,15 +245,18 @@
 
   asio::awaitable<void> ListNewest(Topic& aTopic,
                                    const std::map<std::string, std::uint64_t>& aOffsets,
+                                   const std::string& aAfter,
                                    HttpExchange& aExchange)
   {
     nlohmann::json entries = nlohmann::json::array();
-    for (const auto& [key, offset] : aOffsets) {
+    auto next = aAfter.empty() ? aOffsets.begin() : aOffsets.upper_bound(aAfter);
+    for (; next != aOffsets.end() && entries.size() < this->listingPageEntries; ++next) {
+      const auto& [key, offset] = *next;
       const std::string value = SplitRecord(aTopic.records[offset]).second;
       entries.push_back({ { "Key", key }, { "Value", EncodeBase64(value) }, { "Offset", offset } });
     }
     const nlohmann::json page{ { "Entries", std::move(entries) },
-                               { "MorePages", false },
+                               { "MorePages", next != aOffsets.end() },
                                { "End", aTopic.records.size() } };
     aTopic.bytesServed += page.dump().size();
     co_await RespondJson(aExchange, 200, page);
@@ -246,6 +268,7 @@
   bool outage = false;
   std::string hungTopic; // Reads of this topic hang; empty when none do.
   std::uint64_t hungReads = 0;
+  std::size_t listingPageEntries = 500;
   std::string oldListingTopic; // Listings of this topic are old; empty when none are.
   std::map<std::string, std::uint64_t> oldOffsets; // What they contain.
   std::string endlessTopic; // Responses to reads of this topic do not end; empty when all end.
