Bound the memory of responses without end

Report of another operator: a faulty engine sent bytes without end, the machine kept them all, ran out of memory, and the requests of others ended with it. Here: heads are limited, one body and one event too, but not their sum: 100 endless responses at a time buffered 1.6 GB. And events that are well formed were read on while the caller took none. Change: all attempts share 64 MiB; beyond it those with more than an equal share are aborted. A target is not read on while 256 KiB wait for its caller.

--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t kMaxWholeResponseBytes = 16 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+// What all attempts may buffer together. Beyond it, those with more than an equal share are
+// aborted.
+constexpr std::size_t kMaxBufferedBytes = 64 * 1024 * 1024;
+
 // Returns why a stream that ended is not complete, or null. When the connection's end is all that
 // ends it, a stream without events cannot be told from one of an engine that has crashed.
 const char*
@@ -102,12 +106,24 @@
     this->DeliverEvents(*state, aData.bytes);
   } else {
     state->attempt->body += aData.bytes;
-    if (state->attempt->body.size() > kMaxWholeResponseBytes) {
+    const bool isWithin = this->CountBuffered(*state->attempt);
+    if (!isWithin || state->attempt->body.size() > kMaxWholeResponseBytes) {
       this->FailAttempt(*state, "the answer does not end", true);
     }
   }
 }
 
+// Counts what an attempt buffers by now. Returns whether it may go on.
+bool
+ForwardReducer::Impl::CountBuffered(Attempt& aAttempt)
+{
+  const std::size_t bytes = aAttempt.body.size() + aAttempt.events.BufferedBytes();
+  this->bufferedBytes += bytes;
+  this->bufferedBytes -= std::exchange(aAttempt.bufferedBytes, bytes);
+  return this->bufferedBytes <= kMaxBufferedBytes ||
+         bytes <= kMaxBufferedBytes / std::max<std::size_t>(1, this->attemptOwner.size());
+}
+
 void
 ForwardReducer::Impl::DeliverEvents(RequestState& aState, const std::string& aBytes)
 {
@@ -129,7 +145,8 @@
     aState.lastEventId = event.id ? event.id : aState.lastEventId;
     newEvents += event.bytes;
   }
-  if (aState.attempt->events.BufferedBytes() > kMaxEventBytes) {
+  const bool isWithin = this->CountBuffered(*aState.attempt);
+  if (!isWithin || aState.attempt->events.BufferedBytes() > kMaxEventBytes) {
     fault = "an event of the stream does not end";
   }
   if (!newEvents.empty()) {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -62,10 +62,11 @@
   Instant startedAt;
   std::optional<int> status; // Empty until the response head is received.
   std::vector<Field> fields;
-  std::string body;             // Of a response that is passed on as a whole.
-  bool isStream = false;        // Its events are passed on as they are received.
-  bool delivered = false;       // At least one of its events was passed on.
-  std::uint32_t eventCount = 0; // Complete events received.
+  std::string body;              // Of a response that is passed on as a whole.
+  bool isStream = false;         // Its events are passed on as they are received.
+  bool delivered = false;        // At least one of its events was passed on.
+  std::uint32_t eventCount = 0;  // Complete events received.
+  std::size_t bufferedBytes = 0; // Of the body and the incomplete event, as counted in the total.
   EventStreamParser events;
 };
 
@@ -173,6 +174,7 @@
   void DeliverEvents(internal::RequestState& aState, const std::string& aBytes);
   void PassOnEvents(internal::RequestState& aState, std::string aEvents);
   void CompleteBuffered(internal::RequestState& aState);
+  bool CountBuffered(internal::Attempt& aAttempt);
   void FailAttempt(internal::RequestState& aState, const std::string& aReason, bool aCancel);
   void HandleNotExecuted(internal::RequestState& aState, const std::string& aReason);
   bool MayRetry(const internal::RequestState& aState) const;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -355,6 +355,7 @@
     this->effects.emplace_back(CancelAttempt{ attempt.id });
   }
   this->attemptOwner.erase(attempt.id);
+  this->bufferedBytes -= attempt.bufferedBytes;
   aState.attempt.reset();
   aState.stallAt = Instant::max();
 }
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -174,16 +174,17 @@
 void
 ForwardDaemon::Execute(StartAttempt& aStart)
 {
-  const Session* session = this->FindSession(aStart.handle);
-  if (!session) {
+  const auto found = this->sessions.find(aStart.handle);
+  if (found == this->sessions.end()) {
     return;
   }
+  const std::shared_ptr<Session> session = found->second;
   auto stream = std::make_shared<HttpStream>(this->context.get_executor());
   this->attempts[aStart.attempt] = stream;
   asio::co_spawn(this->context,
                  this->RunAttempt(aStart.attempt,
                                   platform::EncodeAttempt(*session->request, aStart),
-                                  session->request->requestId,
+                                  session,
                                   std::move(stream)),
                  asio::detached);
 }
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -38,6 +38,7 @@
   {
     explicit Session(asio::io_context& aContext)
       : changed(aContext)
+      , written(aContext)
     {
     }
 
@@ -49,6 +50,7 @@
     bool isComplete = false;
     bool isAborted = false;
     asio::steady_timer changed; // Cancelled to resume the session's coroutine.
+    asio::steady_timer written; // Cancelled when unsent bytes were taken to be sent.
   };
 
   void Step(const ForwardEvent& aEvent);
@@ -79,8 +81,9 @@
   asio::awaitable<void> WaitForChange(Session& aSession);
   asio::awaitable<void> RunAttempt(std::uint64_t aAttempt,
                                    HttpCall aCall,
-                                   std::string aRequestId,
+                                   std::shared_ptr<Session> aSession,
                                    std::shared_ptr<HttpStream> aStream);
+  asio::awaitable<void> AwaitCaller(std::uint64_t aAttempt, Session& aSession);
   asio::awaitable<void> RunCheck(CheckTarget aCheck);
   asio::awaitable<void> RunReservationCommand(SendReservationCommand aCommand);
 
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -13,6 +13,9 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
+// Bytes that wait for a slow caller before its target is read no further.
+constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+
 } // namespace
 
 // ---- Caller sessions ----
@@ -123,7 +126,9 @@
     co_await aExchange.BeginStream(aSession.begin->status, std::move(aSession.begin->fields));
   while (open) {
     if (!aSession.unsentBytes.empty()) {
-      open = co_await aExchange.Write(std::exchange(aSession.unsentBytes, {}));
+      std::string bytes = std::exchange(aSession.unsentBytes, {});
+      aSession.written.cancel();
+      open = co_await aExchange.Write(std::move(bytes));
     } else if (aSession.isComplete) {
       co_await aExchange.EndStream({});
       co_return;
@@ -148,7 +153,7 @@
 asio::awaitable<void>
 ForwardDaemon::RunAttempt(std::uint64_t aAttempt,
                           HttpCall aCall,
-                          std::string aRequestId,
+                          std::shared_ptr<Session> aSession,
                           std::shared_ptr<HttpStream> aStream)
 {
   const Instant deadline = Now() + aCall.timeout;
@@ -158,8 +163,9 @@
   }
   AttemptEnd end{ aAttempt, AttemptEndKind::Aborted, head.reason };
   if (head.stage == HttpStage::Responded) {
-    this->Step(platform::DecodeResponseHead(aAttempt, aRequestId, head));
+    this->Step(platform::DecodeResponseHead(aAttempt, aSession->request->requestId, head));
     while (this->attempts.contains(aAttempt)) {
+      co_await this->AwaitCaller(aAttempt, *aSession);
       auto piece = co_await aStream->Read(std::max(Duration(1), deadline - Now()));
       if (!piece) {
         break;
@@ -180,6 +186,17 @@
   }
 }
 
+// Waits while the caller has not taken what its target has sent. The attempt may end meanwhile.
+asio::awaitable<void>
+ForwardDaemon::AwaitCaller(std::uint64_t aAttempt, Session& aSession)
+{
+  static constexpr Duration kPollInterval = std::chrono::milliseconds(100);
+  while (aSession.unsentBytes.size() > kMaxUnsentBytes && this->attempts.contains(aAttempt)) {
+    aSession.written.expires_after(kPollInterval);
+    co_await aSession.written.async_wait(kTuple);
+  }
+}
+
 asio::awaitable<void>
 ForwardDaemon::RunCheck(CheckTarget aCheck)
 {
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -193,6 +193,7 @@
   CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
   CPPUNIT_TEST(StreamThatEndsWithItsConnectionEarlyIsNotComplete);
   CPPUNIT_TEST(EndlessBytesEndTheAttempt);
+  CPPUNIT_TEST(ManyEndlessResponsesShareTheMemory);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
   CPPUNIT_TEST(LeavingTargetGetsNoNewWork);
   CPPUNIT_TEST(PausedTargetGetsNothingUntilItsTime);
@@ -442,6 +443,56 @@
     }
   }
 
+  // Guards against an entry that runs out of memory, and takes the requests of all callers with it,
+  // while a faulty target sends many responses without end at the same time.
+  void ManyEndlessResponsesShareTheMemory()
+  {
+    static constexpr std::size_t kLimit = 80 * 1024 * 1024;
+    static constexpr int kRequests = 100;
+    const std::string piece(64 * 1024, 'x');
+    for (const char* path : { "/book/", "/draft/" }) {
+      ForwardReducerDriver driver(40);
+      for (int i = 0; i < kRequests; ++i) {
+        driver.SendRequest(path, path == std::string("/draft/") ? 5000 : 0);
+      }
+      std::map<std::uint64_t, std::size_t> buffered; // By attempt.
+      for (const StartAttempt& start : std::vector(driver.starts)) {
+        AttemptHead head;
+        head.attempt = start.attempt;
+        head.status = 200;
+        head.isSigned = true;
+        driver.Step(head);
+        buffered[start.attempt] = 0;
+      }
+      std::size_t most = 0;
+      for (int round = 0; round < 300; ++round) {
+        for (auto& [attempt, bytes] : buffered) {
+          bytes += piece.size();
+          for (const ForwardEffect& effect : driver.Step(AttemptData{ attempt, piece })) {
+            const auto* cancelled = std::get_if<CancelAttempt>(&effect);
+            bytes = cancelled && cancelled->attempt == attempt ? 0 : bytes;
+          }
+        }
+        std::erase_if(buffered, [](const auto& aItem) { return aItem.second == 0; });
+        std::size_t total = 0;
+        for (const auto& [attempt, bytes] : buffered) {
+          total += bytes;
+        }
+        most = std::max(most, total);
+      }
+      CPPUNIT_ASSERT_MESSAGE(path + std::to_string(most), most <= kLimit);
+    }
+    // One large response beside a few others is passed on.
+    ForwardReducerDriver driver;
+    driver.SendRequest("/look/");
+    driver.ReceiveHead(200);
+    for (int i = 0; i < 200; ++i) {
+      driver.ReceiveData(piece);
+    }
+    driver.EndAttempt(AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(200 * piece.size(), driver.responses.back().body.size());
+  }
+
   // Guards against a refusal that an engine repeats from an earlier request being passed on as a
   // promise that this request did not run.
   void RefusalOfAnotherRequestIsNoPromise()
