Answer requests that outlast the grace before it ends

Report of another operator: in a planned stop, requests that came late were passed on and cut at the end of the grace without a response, among them some that may not be repeated. Here: nothing is taken any more 2.5 s after the signal, but what runs was left to the kill at the end of the grace. Change: the entry knows the grace (setting grace). No request is given a deadline behind it, less half a second: it ends with 504, a stream is aborted, reservations are released, and the process exits by itself. A request whose objective does not fit any more is refused with 503 at once.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -161,6 +161,12 @@
   std::int64_t startedAtMs = 0; // See RegisteredTarget.
 };
 
+// The process is about to stop: every request, also a later one, must have ended by then.
+struct StopAnnounced
+{
+  Instant endsAt;
+};
+
 // A peer reports what is quarantined or cleared.
 struct PeerQuarantineReport
 {
@@ -186,6 +192,7 @@
                                   TargetChecked,
                                   TargetCrashReport,
                                   PeerQuarantineReport,
+                                  StopAnnounced,
                                   Wake>;
 
 // ---- Effects ----
--- a/src/core/forward/ForwardAdmission.cpp
+++ b/src/core/forward/ForwardAdmission.cpp
@@ -61,6 +61,10 @@
   if (request.deadline) {
     aState.deadline = std::min(aState.deadline, aState.arrivedAt + *request.deadline);
   }
+  if (this->stopsAt - this->now < aState.route->objective) {
+    return Refusal{ 503, "the entry is about to stop" };
+  }
+  aState.deadline = std::min(aState.deadline, this->stopsAt);
   if (this->AbortCount(request.fingerprint) >= kAbortsToBlock) {
     return Refusal{ 503, "the request broke off wherever it ran" };
   }
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -131,6 +131,7 @@
   void OnEvent(const TargetChecked& aChecked);
   void OnEvent(const TargetCrashReport& aReport);
   void OnEvent(const PeerQuarantineReport& aReport);
+  void OnEvent(const StopAnnounced& aStop);
   void OnEvent(const Wake& aWake);
 
   // Schedules a broadcast when the last event changed the load of this entry.
@@ -255,8 +256,10 @@
   std::map<std::uint64_t, Instant> recentRefusals;                  // Expiry by fingerprint.
   std::set<std::pair<Instant, std::uint64_t>> timers;  // Handles by the time of their wake-up.
   std::map<std::uint64_t, std::uint64_t> attemptOwner; // Handle by attempt.
+  std::size_t bufferedBytes = 0;                       // Of all attempts.
   std::map<std::uint64_t, std::uint64_t> commandOwner; // Handle by command.
   std::map<std::uint64_t, internal::PendingRelease> releases; // By command.
+  Instant stopsAt = Instant::max(); // When the process stops, once that is announced.
   std::mt19937_64 random;
   std::uint64_t attemptSequence = 0;
   std::uint64_t commandSequence = 0;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -171,6 +171,17 @@
     aReport.instance, aReport.startedAtMs, { .isLeaving = true, .pause = {} }, this->now);
 }
 
+// A request that cannot end in time gets a response that says so, rather than a cut connection.
+void
+ForwardReducer::Impl::OnEvent(const StopAnnounced& aStop)
+{
+  this->stopsAt = aStop.endsAt;
+  for (auto& [handle, state] : this->requests) {
+    state.deadline = std::min(state.deadline, aStop.endsAt);
+    this->SetWake(state);
+  }
+}
+
 void
 ForwardReducer::Impl::OnEvent(const Wake& /*aWake*/)
 {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -367,7 +367,10 @@
 asio::awaitable<void>
 ForwardDaemon::Drain()
 {
+  // Time to send the last responses, and for the platform's delay in sending the signal.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
   this->server.CloseAfterResponses();
+  this->Step(StopAnnounced{ Now() + std::max(kStopMargin, this->settings.grace - kStopMargin) });
   asio::co_spawn(this->context, this->follower.Deregister(), asio::detached);
   asio::steady_timer timer(this->context, this->settings.drainDelay);
   co_await timer.async_wait(kTuple);
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -274,6 +274,7 @@
   forward.ReadAddress("peer_address", settings.peerAddress);
   forward.ReadAddress("store_address", settings.storeAddress);
   forward.ReadDuration("drain_delay", settings.drainDelay);
+  forward.ReadDuration("grace", settings.grace);
   forward.ReadInteger("descriptors", settings.descriptors, 256, kMaxDescriptors);
   forward.ReadInteger("log_sample", settings.logSample, 1, kMaxSample);
   forward.ReadNumber("retry_ratio", settings.retryRatio);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -45,11 +45,12 @@
   std::string peerAddress;  // Where the other entries reach this one.
   std::string storeAddress; // The platform's store.
   Duration drainDelay =
-    std::chrono::milliseconds(2500); // 2.5 health check intervals of the balancer.
-  std::uint32_t descriptors = 4096;  // Limit on open file descriptors.
-  std::uint32_t logSample = 64;      // One request in this many is logged even if it succeeds.
-  double retryRatio = 0.2;           // See ForwardConfig.
-  double retrySlack = 20;            // See ForwardConfig.
+    std::chrono::milliseconds(2500);        // 2.5 health check intervals of the balancer.
+  Duration grace = std::chrono::seconds(8); // From SIGTERM until the platform ends the process.
+  std::uint32_t descriptors = 4096;         // Limit on open file descriptors.
+  std::uint32_t logSample = 64; // One request in this many is logged even if it succeeds.
+  double retryRatio = 0.2;      // See ForwardConfig.
+  double retrySlack = 20;       // See ForwardConfig.
   Duration reservationLease = std::chrono::seconds(3); // See ForwardConfig.
   Duration targetDrainTimeout =
     std::chrono::seconds(2); // By when a draining target must get no new attempts.
