Tell crashes of one instance apart, and test the guards with processes

Cause: reports of a crash were merged by instance and start time. A target that starts again under its name and crashes before its new registration is known was counted once. Change: reports that come over a second apart are of different crashes. Measured: CrashesOfOneInstanceAreToldApart; found by PartThatCrashesEnginesIsRefusedByAllEntries, which failed before (200 in place of 503) and passes.

--- a/src/core/forward/PartQuarantine.cpp
+++ b/src/core/forward/PartQuarantine.cpp
@@ -14,9 +14,13 @@
 // nothing about the parts that they had in common.
 constexpr Duration kMinCrashDistance = std::chrono::milliseconds(200);
 
-// All entries report a crash within this time.
+// Most entries report a crash within this time.
 constexpr Duration kSettleTime = std::chrono::milliseconds(50);
 
+// Later reports are of another crash: a target may start again under its name, and crash before its
+// new registration is known. Busy entries report within this time.
+constexpr Duration kMergeTime = std::chrono::seconds(1);
+
 // How long crashes count, and what is quarantined is kept without a request for it.
 constexpr Duration kCrashTtl = std::chrono::minutes(10);
 
@@ -98,7 +102,8 @@
 PartQuarantine::RecordCrash(const TargetCrashReport& aReport, Instant aNow)
 {
   auto crash = std::find_if(this->crashes.begin(), this->crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.instance == aReport.instance && aCrash.startedAtMs == aReport.startedAtMs;
+    return aCrash.instance == aReport.instance && aCrash.startedAtMs == aReport.startedAtMs &&
+           aNow < aCrash.at + kMergeTime;
   });
   if (crash == this->crashes.end()) {
     if (this->crashes.size() >= kMaxCrashes) {
--- a/test/CrashingPartTest.cpp
+++ b/test/CrashingPartTest.cpp
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(PartsThatCannotBeToldApartAreQuarantinedTogether);
   CPPUNIT_TEST(TrialsBecomeRare);
   CPPUNIT_TEST(ClearedPartIsNotQuarantinedByAnOldReport);
+  CPPUNIT_TEST(CrashesOfOneInstanceAreToldApart);
   CPPUNIT_TEST(StateIsBounded);
   CPPUNIT_TEST(PartWithProgressIsNeverQuarantined);
   CPPUNIT_TEST_SUITE_END();
@@ -337,6 +338,25 @@
     CPPUNIT_ASSERT(story.IsQuarantined({ 7 }));
   }
 
+  // Guards against crashes that do not count because the target starts again under its name and
+  // crashes before its registration has changed, and against late reports that count twice.
+  void CrashesOfOneInstanceAreToldApart()
+  {
+    Story story;
+    const auto report = [&story](milliseconds aAfter) {
+      story.now += aAfter;
+      story.quarantine.RecordCrash({ "engine", 1, { { 7 } } }, story.now);
+      story.quarantine.Evaluate(story.now + milliseconds(50));
+    };
+    for (int i = 0; i < 4; ++i) {
+      report(milliseconds(240));
+    }
+    CPPUNIT_ASSERT(!story.IsQuarantined({ 7 }));
+    report(seconds(2));
+    report(seconds(2));
+    CPPUNIT_ASSERT(story.IsQuarantined({ 7 }));
+  }
+
   // Guards against an entry that prompts with many parts, or faulty peers, run out of memory.
   void StateIsBounded()
   {
--- a/test/ForwardPathTest.cpp
+++ b/test/ForwardPathTest.cpp
@@ -2,10 +2,14 @@
 // that register themselves in the store stand-in, run as separate processes on loopback. The tests
 // are the callers.
 #include <csignal>
+#include <fstream>
 #include <future>
+#include <thread>
 
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include "harness/PlatformDeployment.h"
 
@@ -32,6 +36,15 @@
   return text;
 }
 
+std::uint64_t
+ResidentBytes(pid_t aProcess)
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/statm");
+  std::uint64_t pages = 0;
+  file >> pages >> pages;
+  return pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 class ForwardPathTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ForwardPathTest);
@@ -42,6 +55,9 @@
   CPPUNIT_TEST(LeavingEngineIsLeftAloneByAllEntries);
   CPPUNIT_TEST(PausedEnginesGetNothingAndCallersTheirTime);
   CPPUNIT_TEST(GracefulStopCompletesStreams);
+  CPPUNIT_TEST(RequestsThatOutlastTheGraceAreAnswered);
+  CPPUNIT_TEST(EndlessStreamToSlowCallerTakesLittleMemory);
+  CPPUNIT_TEST(PartThatCrashesEnginesIsRefusedByAllEntries);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +199,94 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, deployment.entries[0].WaitForExit(kAwaitTimeout).value_or(-1));
   }
+
+  // Guards against requests that the end of the grace cuts without a response, among them those
+  // that may not be repeated.
+  void RequestsThatOutlastTheGraceAreAnswered()
+  {
+    static constexpr std::chrono::milliseconds kGrace{ 3'000 };
+    PlatformDeployment deployment;
+    deployment.SetFaults(deployment.TargetAddress(4), { { "call_ms", 8'000 } });
+    auto early = std::async(std::launch::async, [&deployment] {
+      return deployment.SendRequest(1, "/book/hall", "early", 0);
+    });
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return deployment.RunCounts().size() == 1; }));
+    deployment.entries[0].Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, deployment.entries[0].WaitForExit(kGrace).value_or(-1));
+    const HttpReply reply = early.get();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.reason, 504, reply.status);
+    CPPUNIT_ASSERT_EQUAL(1, deployment.RunCounts()["early"]);
+  }
+
+  // Guards against an entry that runs out of memory, and takes the requests of all callers with it,
+  // because an engine sends events without end and faster than the caller takes them.
+  void EndlessStreamToSlowCallerTakesLittleMemory()
+  {
+    static constexpr std::uint64_t kMaxBytes = 64 * 1024 * 1024;
+    PlatformDeployment deployment;
+    for (int i = 1; i <= 3; ++i) {
+      deployment.SetFaults(deployment.TargetAddress(i), { { "endless", true } });
+    }
+    asio::io_context context;
+    std::vector<tcp::socket> callers;
+    const std::string request = "POST /draft/round HTTP/1.1\r\nHost: quiz.example\r\n"
+                                "Authorization: Bearer key-1\r\nX-Sycamorepost-Request-Id: r\r\n"
+                                "X-Sycamorepost-Token-Counts: 5000,200\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    for (int i = 0; i < 4; ++i) {
+      tcp::socket& caller = callers.emplace_back(context);
+      caller.connect(*ParseEndpoint(deployment.EntryIp(1) + ":7080"));
+      asio::write(caller, asio::buffer(request));
+    }
+    std::uint64_t most = 0;
+    for (int i = 0; i < 30; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      most = std::max(most, ResidentBytes(deployment.entries[0].Pid()));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most < kMaxBytes);
+    }
+    // Others are served meanwhile.
+    CPPUNIT_ASSERT_EQUAL(200, deployment.SendRequest(1, "/book/hall", "r1", 0).status);
+  }
+
+  // Guards against crashes that the processes do not notice or do not report to each other.
+  void PartThatCrashesEnginesIsRefusedByAllEntries()
+  {
+    PlatformDeployment deployment;
+    int sent = 0;
+    for (int round = 0; round < 3; ++round) {
+      for (int i = 1; i <= 3; ++i) {
+        deployment.SetFaults(deployment.TargetAddress(i), { { "crash_on", "bad" } });
+      }
+      const std::string id = "r" + std::to_string(++sent);
+      const HttpReply reply =
+        deployment.SendRequest(1, "/draft/" + id, id, 5'000, "a:40,bad:60,c1:9");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 502, reply.status);
+      // Longer than reports of one crash may take.
+      std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+      deployment.RestartEndedTargets();
+      // A sound request with the other part is served again.
+      CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+        const std::string sound = "r" + std::to_string(++sent);
+        return deployment.SendRequest(2, "/draft/" + sound, sound, 5'000, "a:40,c2:9").status ==
+               200;
+      }));
+    }
+    for (int entry = 1; entry <= 2; ++entry) {
+      const std::string id = "refused-" + std::to_string(entry);
+      const HttpReply reply =
+        deployment.SendRequest(entry, "/draft/" + id, id, 5'000, "bad:60,c3:9");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 503, reply.status);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), deployment.RunCounts().count(id));
+      CPPUNIT_ASSERT(!HeaderField(reply, "Retry-After").empty());
+    }
+    // An entry that starts now is told.
+    deployment.entries[1].Kill();
+    deployment.entries[1] = deployment.StartEntry(2);
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      const json dump = harness::FetchDump(deployment.EntryIp(2) + ":7001");
+      return dump.is_object() && dump.contains("quarantined");
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardPathTest);
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -15,6 +15,9 @@
 
 constexpr const char* kHost = "quiz.example";
 
+// The targets behind them in the order of their addresses are plain services.
+constexpr int kEngines = 3;
+
 } // namespace
 
 json
@@ -53,10 +56,9 @@
   std::filesystem::create_directories(this->directory);
   this->store = this->Start("store", "standin-store", { "--listen=" + this->StoreAddress() });
   this->Publish("keyed.op", "config", MakePlatformConfiguration(1).dump());
-  for (int i = 1; i <= 3; ++i) {
-    this->AddTarget("engine-" + std::to_string(i), "quizmind", i, true);
+  for (int i = 1; i <= kEngines + 1; ++i) {
+    this->targets.push_back(this->StartTarget(i));
   }
-  this->AddTarget("ledger-1", "ledger", 4, false);
   for (int i = 1; i <= 2; ++i) {
     this->entries.push_back(this->StartEntry(i));
   }
@@ -78,7 +80,8 @@
                            "http_address = \"" + ip + ":7080\"\nadmin_address = \"" + ip +
                            ":7001\"\npeer_address = \"" + ip + ":7000\"\nstore_address = \"" +
                            this->StoreAddress() +
-                           "\"\nretry_slack = 100\ndrain_delay = \"100ms\"\n";
+                           "\"\nretry_slack = 100\ndrain_delay = \"100ms\"\n"
+                           "grace = \"3s\"\n";
   return this->Start(name, "sycamorepost-entry", { "--config", path });
 }
 
@@ -101,7 +104,8 @@
 PlatformDeployment::SendRequest(int aEntry,
                                 const std::string& aPath,
                                 const std::string& aId,
-                                std::uint64_t aPromptTokens)
+                                std::uint64_t aPromptTokens,
+                                const std::string& aPromptParts)
 {
   std::vector<Field> fields{ { "Host", kHost },
                              { "Authorization", "Bearer key-1" },
@@ -109,6 +113,9 @@
   if (aPromptTokens > 0) {
     fields.emplace_back("X-Sycamorepost-Token-Counts", std::to_string(aPromptTokens) + ",200");
   }
+  if (!aPromptParts.empty()) {
+    fields.emplace_back("X-Sycamorepost-Prompt-Prefix", aPromptParts);
+  }
   return SendHttpRequest(this->EntryIp(aEntry) + ":7080", "POST", aPath, fields, "body");
 }
 
@@ -193,23 +200,32 @@
   return Process::Start(command, this->directory + "/" + aName + ".log");
 }
 
+Process
+PlatformDeployment::StartTarget(int aIndex)
+{
+  const bool isEngine = aIndex <= kEngines;
+  return this->Start(
+    "target-" + std::to_string(aIndex),
+    "standin-registered",
+    { "--listen=" + this->TargetAddress(aIndex),
+      "--store=" + this->StoreAddress(),
+      std::string("--name=") + (isEngine ? "engine-" + std::to_string(aIndex) : "ledger-1"),
+      std::string("--service=") + (isEngine ? "quizmind" : "ledger"),
+      "--domain=hobart",
+      "--effects=" + this->directory + "/effects",
+      "--memory=" + std::to_string(kKvCapacityTokens),
+      "--events=" + std::to_string(kStreamEvents),
+      isEngine ? "--engine" : "--noengine" });
+}
+
 void
-PlatformDeployment::AddTarget(const std::string& aName,
-                              const std::string& aService,
-                              int aIndex,
-                              bool aIsEngine)
-{
-  this->targets.push_back(this->Start(aName,
-                                      "standin-registered",
-                                      { "--listen=" + this->TargetAddress(aIndex),
-                                        "--store=" + this->StoreAddress(),
-                                        "--name=" + aName,
-                                        "--service=" + aService,
-                                        "--domain=hobart",
-                                        "--effects=" + this->directory + "/effects",
-                                        "--memory=" + std::to_string(kKvCapacityTokens),
-                                        "--events=" + std::to_string(kStreamEvents),
-                                        aIsEngine ? "--engine" : "--noengine" }));
+PlatformDeployment::RestartEndedTargets()
+{
+  for (std::size_t i = 0; i < this->targets.size(); ++i) {
+    if (!this->targets[i].IsRunning()) {
+      this->targets[i] = this->StartTarget(static_cast<int>(i) + 1);
+    }
+  }
 }
 
 } // namespace sycamorepost::harness
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -56,7 +56,11 @@
   HttpReply SendRequest(int aEntry,
                         const std::string& aPath,
                         const std::string& aId,
-                        std::uint64_t aPromptTokens);
+                        std::uint64_t aPromptTokens,
+                        const std::string& aPromptParts = "");
+
+  // Starts the targets again that have ended, without their faults.
+  void RestartEndedTargets();
 
   // Returns how often each request ran on any target, by request id.
   std::map<std::string, int> RunCounts() const;
@@ -92,7 +96,7 @@
   Process Start(const std::string& aName,
                 const std::string& aProgram,
                 const std::vector<std::string>& aArguments);
-  void AddTarget(const std::string& aName, const std::string& aService, int aIndex, bool aIsEngine);
+  Process StartTarget(int aIndex);
 
   int network = ShiftNetwork(60);
   std::string binaryDirectory = BinaryDirectory();
--- a/test/standins/registered.cpp
+++ b/test/standins/registered.cpp
@@ -58,6 +58,9 @@
       this->state = json.value("draining", false) ? "draining" : "ready";
       this->isLeaving = json.value("leaving", false);
       this->retryAfter = json.value("retry_after", "");
+      this->isEndless = json.value("endless", false);
+      this->callDuration = std::chrono::milliseconds(json.value("call_ms", 0));
+      this->crashingPart = json.value("crash_on", "");
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/report") {
       co_await this->Report(aExchange);
@@ -185,6 +188,7 @@
     if (FLAGS_engine) {
       co_await this->Stream(aRequest, aExchange);
     } else {
+      co_await Sleep(this->context, this->callDuration);
       const nlohmann::json response{ { "target", FLAGS_name },
                                      { "account", aRequest.Field("X-Sycamorepost-Tenant") },
                                      { "key", aRequest.Field("Authorization") },
@@ -201,6 +205,16 @@
     fields.emplace_back("Content-Type", "text/event-stream");
     bool isOpen = co_await aExchange.BeginStream(200, std::move(fields));
     const std::uint64_t firstId = after ? *after + 1 : 0;
+    if (!this->crashingPart.empty() &&
+        aRequest.Field("X-Sycamorepost-Prompt-Prefix").find(this->crashingPart) !=
+          std::string::npos) {
+      std::_Exit(1);
+    }
+    for (std::uint64_t id = firstId; isOpen && this->isEndless; ++id) {
+      static constexpr std::size_t kEventBytes = 64 * 1024;
+      isOpen = co_await aExchange.Write("id: " + std::to_string(id) +
+                                        "\ndata: " + std::string(kEventBytes, 'x') + "\n\n");
+    }
     for (std::uint64_t id = firstId; isOpen && id < FLAGS_events; ++id) {
       if (this->abortAfterEvents > 0 && id >= this->abortAfterEvents) {
         co_await aExchange.Write("id: " + std::to_string(id)); // An incomplete event.
@@ -226,8 +240,11 @@
   std::uint64_t running = 0;
   std::uint64_t served = 0;
   std::uint64_t refusals = 0;
-  bool isLeaving = false; // Announced in responses, not in the registration.
-  std::string retryAfter; // Announced with refusals; when not empty, requests are refused.
+  bool isLeaving = false;                      // Announced in responses, not in the registration.
+  bool isEndless = false;                      // Streams send events until their reader closes.
+  std::chrono::milliseconds callDuration{ 0 }; // Of plain calls.
+  std::string crashingPart; // The process ends when it decodes a prompt with this part.
+  std::string retryAfter;   // Announced with refusals; when not empty, requests are refused.
   std::uint64_t abortAfterEvents = 0; // Number of events after which a stream aborts; 0 for never.
 };
 
