Tell entries that start at once what is quarantined

Cause: neighbours tell a new entry at once, but an entry may be alone in its failure domain. It was told by the next report of another domain, up to a second later, and sent requests with the part until then. Change: an entry that learns of others for the first time asks one entry of each other domain. Regression test: EntryThatStartsIsToldAtOnce.

--- a/include/sycamorepost/forward/PartQuarantine.h
+++ b/include/sycamorepost/forward/PartQuarantine.h
@@ -37,7 +37,8 @@
 {
   std::vector<QuarantinedParts> quarantined;
   PartSet cleared;
-  bool isRelayed = false; // Was passed on to the entries of a failure domain by one of them.
+  bool isRelayed = false;  // Is not passed on within the recipient's failure domain.
+  bool wantsReply = false; // The sender has just started and asks what is quarantined.
 };
 
 // The decision on a request.
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -170,7 +170,7 @@
 
 SYCAMOREPOST_WIRE(TargetCrashReport, instance, startedAtMs, prompts)
 SYCAMOREPOST_WIRE(QuarantinedParts, parts, trials, trialInMs)
-SYCAMOREPOST_WIRE(QuarantineReport, quarantined, cleared, isRelayed)
+SYCAMOREPOST_WIRE(QuarantineReport, quarantined, cleared, isRelayed, wantsReply)
 
 namespace {
 
--- a/src/core/forward/ForwardCrashes.cpp
+++ b/src/core/forward/ForwardCrashes.cpp
@@ -148,6 +148,9 @@
   if (!reply.cleared.empty()) {
     this->effects.emplace_back(BroadcastQuarantine{ std::move(reply), { aReport.peer } });
   }
+  if (aReport.report.wantsReply) {
+    this->ShareQuarantined({ aReport.peer }, true);
+  }
   if (!aReport.report.isRelayed && this->group.IsRemote(aReport.peer)) {
     QuarantineReport relayed = aReport.report;
     relayed.isRelayed = true;
@@ -157,15 +160,29 @@
 
 // Tells what is quarantined to entries that may have missed it.
 void
-ForwardReducer::Impl::ShareQuarantined(std::vector<std::string> aRecipients)
+ForwardReducer::Impl::ShareQuarantined(std::vector<std::string> aRecipients, bool aIsRelayed)
 {
   if (this->quarantine.HasQuarantined() && !aRecipients.empty()) {
     QuarantineReport report;
     report.quarantined = this->quarantine.Snapshot(this->now);
+    report.isRelayed = aIsRelayed;
     this->effects.emplace_back(BroadcastQuarantine{ std::move(report), std::move(aRecipients) });
   }
 }
 
+// Asks an entry of each other failure domain. Neighbours tell a new one unasked.
+void
+ForwardReducer::Impl::RequestQuarantined()
+{
+  QuarantineReport request;
+  request.isRelayed = true;
+  request.wantsReply = true;
+  std::vector<std::string> relays = this->group.TakeRelays();
+  if (!relays.empty()) {
+    this->effects.emplace_back(BroadcastQuarantine{ std::move(request), std::move(relays) });
+  }
+}
+
 void
 ForwardReducer::Impl::RunCrashWork()
 {
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -191,7 +191,8 @@
   void RecordProgress(const internal::RequestState& aState);
   void SuspectCrash(const internal::RequestState& aState);
   void ConfirmCrash(const std::string& aInstance);
-  void ShareQuarantined(std::vector<std::string> aRecipients);
+  void ShareQuarantined(std::vector<std::string> aRecipients, bool aIsRelayed);
+  void RequestQuarantined();
   void RunCrashWork();
   Instant NextCrashWork() const;
 
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -81,7 +81,11 @@
 void
 ForwardReducer::Impl::OnEvent(const EntriesChanged& aChanged)
 {
+  const bool knewNobody = this->group.AllPeers().empty();
   this->group.SetEntries(aChanged.entries);
+  if (knewNobody) {
+    this->RequestQuarantined();
+  }
   if (this->domainReportAt == Instant::max()) {
     this->domainReportAt = this->now + Duration(this->random() % kDomainReportInterval.count());
   }
@@ -109,7 +113,7 @@
           BroadcastLeaving{ instance, target.startedAtMs, { aReport.peer } });
       }
     }
-    this->ShareQuarantined({ aReport.peer });
+    this->ShareQuarantined({ aReport.peer }, true);
   }
   this->peers[aReport.peer] = { aReport.incarnation, this->now };
   if (aReport.isSnapshot || isNew) {
@@ -269,8 +273,8 @@
     std::erase_if(this->suspectedCrashes,
                   [this](const auto& aItem) { return aItem.second.expiresAt < this->now; });
     if (this->DomainRank(this->now) < kDomainReporters) {
-      this->ShareQuarantined(this->group.DirectPeers());
-      this->ShareQuarantined(this->group.TakeRelays());
+      this->ShareQuarantined(this->group.DirectPeers(), true);
+      this->ShareQuarantined(this->group.TakeRelays(), false);
     }
     std::erase_if(this->recentRefusals,
                   [this](const auto& aRefusal) { return aRefusal.second < this->now; });
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -516,7 +516,7 @@
     storeReport.registrations.changed = { { .instance = "engine-1", .address = "10.0.0.9:80" } };
     storeReport.registrations.removed = { "engine-2" };
     const TargetCrashReport crash{ "engine-1", 7, { { 1, 2 }, { 3 } } };
-    const QuarantineReport quarantine{ { { { 1, 2 }, 3, 4'000 } }, { 5 }, true };
+    const QuarantineReport quarantine{ { { { 1, 2 }, 3, 4'000 } }, { 5 }, true, true };
     for (const Message& message : { Message(report),
                                     Message(TargetLeavingNotice{ "engine-1", 7 }),
                                     Message(storeReport),
--- a/test/CrashingPartTest.cpp
+++ b/test/CrashingPartTest.cpp
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(SoundRequestsAreServedBesideIt);
   CPPUNIT_TEST(RareAndFrequentRequestsWithItAreStopped);
   CPPUNIT_TEST(EntriesThatRestartKnowIt);
+  CPPUNIT_TEST(EntryThatStartsIsToldAtOnce);
   CPPUNIT_TEST(EntriesThatWereCutOffOrSuspendedKnowIt);
   CPPUNIT_TEST(EntriesOfTheLastVersionDoNoHarm);
   CPPUNIT_TEST(EnginesThatCrashTogetherMakeNoPartSuspect);
@@ -161,6 +162,21 @@
       Unchecked);
   }
 
+  // Guards against an engine that crashes at each start of an entry, also of one without
+  // neighbours.
+  void EntryThatStartsIsToldAtOnce()
+  {
+    CrashFleet fleet({});
+    fleet.Run(seconds(5));
+    fleet.BeginCrashing(kCrashingPart);
+    fleet.Run(seconds(10));
+    for (int entry = 0; entry < 4; ++entry) {
+      fleet.RestartEntry(entry);
+      fleet.Run(milliseconds(25));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(entry), fleet.Dump(entry).contains("quarantined"));
+    }
+  }
+
   // Guards against entries that missed what the others reported.
   void EntriesThatWereCutOffOrSuspendedKnowIt()
   {
--- a/test/harness/CrashFleet.cpp
+++ b/test/harness/CrashFleet.cpp
@@ -171,6 +171,7 @@
   }
   this->Step(aEntry, RoutesChanged{ MakeTable() });
   this->Step(aEntry, TargetsChanged{ this->targets });
+  this->Step(aEntry, EntriesChanged{}); // Read before the entry has registered itself.
   this->Step(aEntry, EntriesChanged{ registered });
   this->Step(aEntry, Wake{});
 }
