--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -133,6 +133,14 @@
     return pid;
   }
 
+  // Starts the entry again with the same settings, as the platform does after its end.
+  void RestartEntry(const std::string& aProgram)
+  {
+    this->entryPid =
+      Start({ aProgram, "--config", this->directory + "/entry.toml" }, this->Log("entry"));
+    this->pids.push_back(this->entryPid);
+  }
+
   // Starts the entry and waits until it is ready and knows aTargets targets.
   pid_t StartEntry(const std::string& aProgram, int aTargets)
   {
@@ -147,7 +155,9 @@
                         << "\"\ngrace = \"8s\"\ndescriptors = 4200\nretry_ratio = 0.2\n"
                         << "leave_bound = \"2000ms\"\nchange_bound = \"2000ms\"\n"
                         << "retry_slack = 102\n";
-    this->entryPid = Start({ aProgram, "--config", path }, this->Log("entry"));
+    this->entryPid = this->logPipe < 0
+                       ? Start({ aProgram, "--config", path }, this->Log("entry"))
+                       : StartInto({ aProgram, "--config", path }, this->logPipe);
     this->pids.push_back(this->entryPid);
     for (int i = 0; i < 100; ++i) {
       const Reply reply = Call(
@@ -179,6 +189,7 @@
   std::string directory;
   std::string binaries;
   std::size_t maxBodyBytes = 4'194'304;
+  int logPipe = -1; // Where the entry writes its log, if not into a file.
   Address store;
   Address entry;
   Address admin;
--- a/review/standins/Net.h
+++ b/review/standins/Net.h
@@ -352,9 +352,9 @@
   return text + "\r\n";
 }
 
-// Starts a program; its output is appended to a file. It ends with this process.
+// Starts a program whose output goes to a descriptor. It ends with this process.
 inline pid_t
-Start(const std::vector<std::string>& aCommand, const std::string& aLog)
+StartInto(const std::vector<std::string>& aCommand, int aOutput)
 {
   const pid_t parent = getpid();
   const pid_t pid = fork();
@@ -365,9 +365,8 @@
   if (getppid() != parent) {
     _exit(2);
   }
-  const int log = open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  dup2(log, 1);
-  dup2(log, 2);
+  dup2(aOutput, 1);
+  dup2(aOutput, 2);
   std::vector<char*> arguments;
   for (const std::string& word : aCommand) {
     arguments.push_back(const_cast<char*>(word.c_str()));
@@ -377,6 +376,16 @@
   _exit(2);
 }
 
+// Starts a program; its output is appended to a file. It ends with this process.
+inline pid_t
+Start(const std::vector<std::string>& aCommand, const std::string& aLog)
+{
+  const int log = open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const pid_t pid = StartInto(aCommand, log);
+  close(log);
+  return pid;
+}
+
 // Returns whether a child still runs. When it has ended, aStatus has its wait status.
 inline bool
 IsRunning(pid_t aPid, int& aStatus)
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -3,6 +3,8 @@
 //   engine IP:PORT STORE NAME SERVICE EFFECTS MODE
 // EFFECTS is a file to which a line is appended for each request that begins to run. MODE:
 //   plain          reads the whole request, runs it and answers with a length
+//   work           the same, and works on a request for 400 ms
+//   errors         the same as plain, but fails one request in seven with its own 500
 //   early          rejects a request with a long body before it has read the body (503 with
 //                  X-Sycamorepost-Not-Executed), keeps the channel and reads the body on; every
 //                  request with a short body runs
@@ -19,6 +21,7 @@
 namespace {
 
 constexpr std::size_t kLongBody = 64 * 1024;
+constexpr int kWorkMs = 400;
 constexpr int kReadOnAfterMs = 300; // How long an engine that has answered early reads nothing.
 constexpr int kPieceMs = 2;         // Time for each piece of a long body that is read slowly.
 
@@ -87,6 +90,12 @@
     return false;
   }
   RecordRun(id);
+  if (gMode == "work") {
+    SleepMs(kWorkMs);
+  }
+  if (gMode == "errors" && std::hash<std::string>()(id) % 7 == 0) {
+    return SendAll(aFd, MakeHead(500, id, Length(0)));
+  }
   const std::string answer = gName + " read " + std::to_string(body.size()) + " bytes\n";
   return SendAll(aFd, MakeHead(200, id, Length(answer.size())) + answer);
 }
