--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -54,13 +54,14 @@
           const std::string& aKind,
           const std::string& aService,
           int aTimeoutMs,
-          int aMaxAttempts)
+          int aMaxAttempts,
+          int aTargetGapMs = 1000)
 {
   return "{\"Name\":\"" + aName + "\",\"Host\":\"quiz.example\",\"PathPrefix\":\"" + aPath +
          "\",\"Kind\":\"" + aKind + "\",\"TimeoutMs\":" + std::to_string(aTimeoutMs) +
          ",\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"" + aService +
          "\",\"MaxAttempts\":" + std::to_string(aMaxAttempts) +
-         ",\"Public\":false,\"Resumable\":true,\"TargetGapMs\":1000}";
+         ",\"Public\":false,\"Resumable\":true,\"TargetGapMs\":" + std::to_string(aTargetGapMs) + "}";
 }
 
 class Deployment
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -4,6 +4,8 @@
 // EFFECTS is a file to which a line is appended for each request that begins to run. MODE:
 //   plain          reads the whole request, runs it and answers with a length
 //   work           the same, and works on a request for 400 ms
+//   stream         streams ten events, 40 ms apart, with one pause of 1.6 s after the fifth, in four
+//                  slots; rejects what exceeds them (503 with X-Sycamorepost-Not-Executed)
 //   errors         the same as plain, but fails one request in seven with its own 500
 //   early          rejects a request with a long body before it has read the body (503 with
 //                  X-Sycamorepost-Not-Executed), keeps the channel and reads the body on; every
@@ -22,12 +24,18 @@
 
 constexpr std::size_t kLongBody = 64 * 1024;
 constexpr int kWorkMs = 400;
+constexpr int kSlots = 4; // Of a streaming engine.
+constexpr int kEvents = 10;
+constexpr int kEventMs = 40;
+constexpr int kPauseAfterEvent = 5;
+constexpr int kPauseMs = 1600;
 constexpr int kReadOnAfterMs = 300; // How long an engine that has answered early reads nothing.
 constexpr int kPieceMs = 2;         // Time for each piece of a long body that is read slowly.
 
 std::string gName;
 std::string gEffects;
 std::string gMode;
+std::atomic<int> gStreams{ 0 };
 
 void
 RecordRun(const std::string& aId)
@@ -54,6 +62,28 @@
   return "Content-Length: " + std::to_string(aSize) + "\r\n";
 }
 
+// Streams the events after the last one that the client has, unless the caller closes the channel.
+void
+Stream(int aFd, const Head& aHead, const std::string& aId)
+{
+  const std::string last = aHead.Field("Last-Event-Id");
+  bool open = SendAll(
+    aFd,
+    MakeHead(200, aId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+  for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && event <= kEvents;
+       ++event) {
+    SleepMs(event == kPauseAfterEvent + 1 && last.empty() ? kPauseMs : kEventMs);
+    const std::string text = "id: " + std::to_string(event) + "\ndata: " + aId + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    char probe = 0;
+    open = recv(aFd, &probe, 1, MSG_DONTWAIT | MSG_PEEK) != 0 && SendAll(aFd, size + text + "\r\n");
+  }
+  if (open) {
+    SendAll(aFd, "0\r\n\r\n");
+  }
+}
+
 // Returns whether the channel may be kept.
 bool
 Answer(int aFd, Reader& aReader, const Head& aHead)
@@ -89,6 +119,17 @@
   if (aReader.ReadBody(aHead, false, body, complete) != End::Ok || !complete) {
     return false;
   }
+  if (gMode == "stream") {
+    if (++gStreams > kSlots) {
+      --gStreams;
+      SendAll(aFd, MakeHead(503, id, "X-Sycamorepost-Not-Executed: 1\r\n" + Length(0)));
+      return false;
+    }
+    RecordRun(id);
+    Stream(aFd, aHead, id);
+    --gStreams;
+    return false;
+  }
   RecordRun(id);
   if (gMode == "work") {
     SleepMs(kWorkMs);
@@ -118,7 +159,9 @@
   const std::int64_t born = UnixMs();
   for (int sequence = 1;; ++sequence) {
     const std::string value = "{\"Service\":\"" + aService + "\",\"Address\":\"" + aListen +
-                              "\",\"Zone\":\"hobart\",\"Version\":1,\"Slots\":16,"
+                              "\",\"Zone\":\"hobart\",\"Version\":1,\"Slots\":" +
+                              std::to_string(gMode == "stream" ? kSlots : 16) +
+                              ","
                               "\"State\":\"ready\",\"ColdRemainingMs\":0,\"Seq\":" +
                               std::to_string(sequence) + ",\"born\":" + std::to_string(born) + "}";
     const std::string record = std::string(1, static_cast<char>(gName.size())) + gName + value;
