--- a/review/4/driver.cpp
+++ b/review/4/driver.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int kClients = 8; // As many as the two engines have slots.
-constexpr int kRounds = 2;   // The planned stop is in the first one.
+constexpr int kRounds = 2;  // The planned stop is in the first one.
 constexpr int kStopAfterMs = 500;
 constexpr int kRestartMs = 9000; // GraceS and a second.
 
@@ -57,8 +57,7 @@
                                              5),
                                  "draft",
                                  12'000);
-        const auto tookMs =
-          std::chrono::duration_cast<milliseconds>(Clock::now() - sentAt).count();
+        const auto tookMs = std::chrono::duration_cast<milliseconds>(Clock::now() - sentAt).count();
         const int status = reply.head.Status();
         const std::string outcome =
           status == 503 ? "refused" : (reply.complete ? "complete" : "cut");
@@ -78,8 +77,8 @@
       client.join();
     }
     record.Write("round " + std::to_string(round) + (stops ? ", with the stop: " : ": ") +
-                 std::to_string(complete) + " complete, " + std::to_string(refused) +
-                 " refused, " + std::to_string(cut) + " cut");
+                 std::to_string(complete) + " complete, " + std::to_string(refused) + " refused, " +
+                 std::to_string(cut) + " cut");
     whole += complete;
     lost += stops ? cut.load() : 0;
     SleepMs(500);
@@ -90,8 +89,8 @@
       SleepMs(3000);
     }
   }
-  const std::string summary = std::to_string(whole) + " streams complete; " +
-                              std::to_string(lost) + " cut around the planned stop";
+  const std::string summary = std::to_string(whole) + " streams complete; " + std::to_string(lost) +
+                              " cut around the planned stop";
   record.Write(summary);
   std::printf("%s\n", summary.c_str());
   if (whole == 0) {
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -61,7 +61,8 @@
          "\",\"Kind\":\"" + aKind + "\",\"TimeoutMs\":" + std::to_string(aTimeoutMs) +
          ",\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"" + aService +
          "\",\"MaxAttempts\":" + std::to_string(aMaxAttempts) +
-         ",\"Public\":false,\"Resumable\":true,\"TargetGapMs\":" + std::to_string(aTargetGapMs) + "}";
+         ",\"Public\":false,\"Resumable\":true,\"TargetGapMs\":" + std::to_string(aTargetGapMs) +
+         "}";
 }
 
 class Deployment
@@ -93,9 +94,8 @@
   void Publish(int aVersion, const std::string& aRoutes, const std::string& aServices)
   {
     const std::string text =
-      "{\"Version\":" + std::to_string(aVersion) + ",\"Routes\":[" + aRoutes +
-      "],\"Services\":[" + aServices +
-      "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":" +
+      "{\"Version\":" + std::to_string(aVersion) + ",\"Routes\":[" + aRoutes + "],\"Services\":[" +
+      aServices + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":" +
       std::to_string(this->maxBodyBytes) +
       ",\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"derwent\","
       "\"ApiKeys\":[\"key-1\"],\"Priority\":1}]}";
@@ -105,11 +105,12 @@
       body.push_back(static_cast<char>((record.size() >> shift) & 0xff));
     }
     body += record;
-    const Reply reply = Call(
-      this->store,
-      MakeRequest("POST", "/log-append?Topic=keyed.op&part=0", { { "Host", "store" } }, body.size()),
-      body,
-      5000);
+    const Reply reply =
+      Call(this->store,
+           MakeRequest(
+             "POST", "/log-append?Topic=keyed.op&part=0", { { "Host", "store" } }, body.size()),
+           body,
+           5000);
     if (reply.head.Status() != 200) {
       std::fprintf(stderr, "the store did not accept the configuration\n");
       std::exit(2);
@@ -156,13 +157,12 @@
                         << "\"\ngrace = \"8s\"\ndescriptors = 4200\nretry_ratio = 0.2\n"
                         << "leave_bound = \"2000ms\"\nchange_bound = \"2000ms\"\n"
                         << "retry_slack = 102\n";
-    this->entryPid = this->logPipe < 0
-                       ? Start({ aProgram, "--config", path }, this->Log("entry"))
-                       : StartInto({ aProgram, "--config", path }, this->logPipe);
+    this->entryPid = this->logPipe < 0 ? Start({ aProgram, "--config", path }, this->Log("entry"))
+                                       : StartInto({ aProgram, "--config", path }, this->logPipe);
     this->pids.push_back(this->entryPid);
     for (int i = 0; i < 100; ++i) {
-      const Reply reply = Call(
-        this->admin, MakeRequest("GET", "/readyz", { { "Host", "x" } }, 0), "", 1000);
+      const Reply reply =
+        Call(this->admin, MakeRequest("GET", "/readyz", { { "Host", "x" } }, 0), "", 1000);
       if (reply.head.Status() == 200 && this->KnownTargets() >= aTargets) {
         return this->entryPid;
       }
--- a/review/standins/Net.h
+++ b/review/standins/Net.h
@@ -16,7 +16,7 @@
 #include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <random>
 #include <string>
 #include <string_view>
 #include <strings.h>
@@ -71,17 +71,22 @@
   return address;
 }
 
-// Returns a free loopback port.
+// Returns a free loopback port below the range from which the kernel takes those of outgoing
+// connections.
 inline int
 FreePort()
 {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = SocketAddress({ "127.0.0.1", 0 });
-  socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
+  static std::mt19937 sRandom{ std::random_device{}() };
+  while (true) {
+    const int port = std::uniform_int_distribution<int>(10'000, 30'000)(sRandom);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = SocketAddress({ "127.0.0.1", port });
+    const bool isFree = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (isFree) {
+      return port;
+    }
+  }
 }
 
 // Listens; aReceiveBuffer limits the window of the accepted connections, 0 leaves the default.
@@ -158,9 +163,8 @@
       from = this->first.find(' ', from);
       from = from == std::string::npos ? from : from + 1;
     }
-    return from == std::string::npos
-             ? ""
-             : this->first.substr(from, this->first.find(' ', from) - from);
+    return from == std::string::npos ? ""
+                                     : this->first.substr(from, this->first.find(' ', from) - from);
   }
   int Status() const { return std::atoi(this->Word(1).c_str()); }
 };
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -4,7 +4,8 @@
 // EFFECTS is a file to which a line is appended for each request that begins to run. MODE:
 //   plain          reads the whole request, runs it and answers with a length
 //   work           the same, and works on a request for 400 ms
-//   stream         streams ten events, 40 ms apart, with one pause of 1.6 s after the fifth, in four
+//   stream         streams ten events, 40 ms apart, with one pause of 1.6 s after the fifth, in
+//   four
 //                  slots; rejects what exceeds them (503 with X-Sycamorepost-Not-Executed)
 //   errors         the same as plain, but fails one request in seven with its own 500
 //   early          rejects a request with a long body before it has read the body (503 with
@@ -68,8 +69,7 @@
 {
   const std::string last = aHead.Field("Last-Event-Id");
   bool open = SendAll(
-    aFd,
-    MakeHead(200, aId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+    aFd, MakeHead(200, aId, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
   for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && event <= kEvents;
        ++event) {
     SleepMs(event == kPauseAfterEvent + 1 && last.empty() ? kPauseMs : kEventMs);
@@ -195,10 +195,8 @@
   gMode = aArguments[6];
   // A small window, as the links of the platform have.
   const int listener = Listen(ParseAddress(aArguments[1]), 64 * 1024);
-  std::thread(Register,
-              ParseAddress(aArguments[2]),
-              std::string(aArguments[4]),
-              std::string(aArguments[1]))
+  std::thread(
+    Register, ParseAddress(aArguments[2]), std::string(aArguments[4]), std::string(aArguments[1]))
     .detach();
   while (true) {
     const int fd = accept(listener, nullptr, nullptr);
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -11,8 +11,8 @@
 
 struct Topic
 {
-  std::vector<std::string> records;            // Without the length prefix.
-  std::map<std::string, std::size_t> newest;   // Offset by key.
+  std::vector<std::string> records;          // Without the length prefix.
+  std::map<std::string, std::size_t> newest; // Offset by key.
 };
 
 std::mutex gMutex;
@@ -149,8 +149,8 @@
       }
     }
     if (!SendAll(aFd,
-                 "HTTP/1.1 " + std::to_string(status) +
-                   " X\r\nContent-Length: " + std::to_string(answer.size()) + "\r\n\r\n" + answer)) {
+                 "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " +
+                   std::to_string(answer.size()) + "\r\n\r\n" + answer)) {
       break;
     }
   }
