Do not take a response that was reset for a whole one

Cause: HttpStream sends the request and reads the response at the same time. The kernel reports a reset once, to the pending write, whose error was ignored; the read then sees the plain end of the connection, which completes a body without a length. Evidence: strace of the entry shows sendmsg = ECONNRESET and then recvmsg = 0 on both cut connections.

Change: such a body is complete only once the target has received the whole request (the write has ended, no error is pending, all bytes are acknowledged). The same in Fetch, which the sidecar's services use. This works because a target that closes without having received all of the request resets the connection, whichever side of ours sees it.

At most once and refusals are untouched: the attempt ends as one that broke off, which is repeated only where it may be, and refusals are recognized by their head.

--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -209,6 +209,14 @@
   Responded,    // A response arrived; for a stream, its head.
 };
 
+// How the write of a request has ended. It may last longer than the read of its response, since a
+// target may respond before it has read the whole request.
+struct HttpRequestWrite
+{
+  bool hasEnded = false;
+  beast::error_code error;
+};
+
 // The result of a request.
 struct HttpReply
 {
@@ -258,10 +266,11 @@
   asio::awaitable<HttpReply> Open(HttpCall aCall);
 
   // Returns the next bytes of the body; nothing at its end, on an error, or when nothing arrives
-  // within the timeout.
+  // within the timeout. Where the end of the connection is the end of the body, waits within the
+  // timeout until the target has received the whole request, as it resets the connection otherwise.
   asio::awaitable<std::optional<std::string>> Read(Duration aTimeout);
 
-  // Returns whether the whole body has arrived.
+  // Returns whether the whole body has arrived. A body that a reset has cut short is not complete.
   bool Complete() const { return this->complete; }
 
   // Returns whether the response states neither a length nor chunks, so that the end of the
@@ -278,9 +287,12 @@
   void Close();
 
 private:
+  void Fail(beast::error_code aError, const char* aCircumstance);
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
   http::response_parser<http::string_body> parser;
+  std::shared_ptr<HttpRequestWrite> requestWrite = std::make_shared<HttpRequestWrite>();
   bool complete = false;
   bool timedOut = false;
   std::string error;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,12 +1,16 @@
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "net/Clock.h"
 #include "net/Http.h"
 
 namespace sycamorepost {
@@ -92,6 +96,55 @@
   co_return true;
 }
 
+// Returns the pending error of a socket, which the kernel reports only once.
+beast::error_code
+TakeSocketError(tcp::socket& aSocket)
+{
+  int value = 0;
+  socklen_t size = sizeof(value);
+  getsockopt(aSocket.native_handle(), SOL_SOCKET, SO_ERROR, &value, &size);
+  return { value, boost::system::system_category() };
+}
+
+// Returns whether the peer has acknowledged all bytes that were written. Where the kernel cannot
+// tell, it counts as acknowledged.
+bool
+IsAcknowledged(tcp::socket& aSocket)
+{
+  int unacknowledged = 0;
+  const int result = ioctl(aSocket.native_handle(), SIOCOUTQ, &unacknowledged);
+  return result != 0 || unacknowledged == 0;
+}
+
+// Waits until the target has received the whole request. Called when the end of the connection is
+// the end of the response: a target that closes a connection without having received the whole
+// request resets it, and the read may have seen only the end. Returns an error when the request
+// cannot arrive any more, or has not by the deadline.
+asio::awaitable<beast::error_code>
+AwaitRequestReceived(beast::tcp_stream& aStream, const HttpRequestWrite& aWrite, Instant aDeadline)
+{
+  static constexpr Duration kPollInterval = std::chrono::milliseconds(5);
+  asio::steady_timer timer(aStream.get_executor());
+  while (aStream.socket().is_open()) {
+    if (aWrite.error) {
+      co_return aWrite.error;
+    }
+    const beast::error_code error = TakeSocketError(aStream.socket());
+    if (error) {
+      co_return error;
+    }
+    if (aWrite.hasEnded && IsAcknowledged(aStream.socket())) {
+      co_return beast::error_code();
+    }
+    if (Now() >= aDeadline) {
+      co_return beast::error_code(beast::error::timeout);
+    }
+    timer.expires_after(kPollInterval);
+    co_await timer.async_wait(kAsTuple);
+  }
+  co_return beast::error_code(asio::error::operation_aborted);
+}
+
 // Connects and sends the request. On failure returns false and sets the reply's stage and reason.
 asio::awaitable<bool>
 SendRequest(beast::tcp_stream& aStream, const HttpCall& aCall, HttpReply& aReply)
@@ -126,6 +179,7 @@
 Fetch(HttpCall aCall)
 {
   HttpReply reply;
+  const Instant deadline = Now() + aCall.connectTimeout + aCall.timeout;
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   const bool sent = co_await SendRequest(stream, aCall, reply);
   if (!sent) {
@@ -134,8 +188,12 @@
   beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(aCall.maxBodyBytes);
-  const auto [error, size] = co_await http::async_read(stream, buffer, parser, kAsTuple);
+  auto [error, size] = co_await http::async_read(stream, buffer, parser, kAsTuple);
   FetchTraffic()[aCall.address].receivedBytes += size;
+  if (!error && parser.need_eof()) {
+    const HttpRequestWrite write{ .hasEnded = true };
+    error = co_await AwaitRequestReceived(stream, write, deadline);
+  }
   if (error) {
     reply.reason = error.message();
     co_return reply;
@@ -176,14 +234,16 @@
   }
   reply.stage = HttpStage::Lost;
   // The response may arrive before the whole request is sent, so the write and the read run
-  // concurrently. The handler keeps the request and its body alive until the write has ended; after
-  // a failed write the read fails too.
+  // concurrently. The handler keeps the request and its body alive until the write has ended. The
+  // kernel reports a reset to only one of the two.
   const auto request = std::make_shared<HttpWireRequest>(MakeRequest(aCall));
   http::async_write(
     this->stream,
     *request,
-    [request, body = aCall.body, address = aCall.address](beast::error_code, std::size_t aSize) {
+    [request, body = aCall.body, address = aCall.address, write = this->requestWrite](
+      beast::error_code aError, std::size_t aSize) {
       FetchTraffic()[address].sentBytes += aSize;
+      *write = { true, aError };
     });
   ++FetchTraffic()[aCall.address].calls;
   const auto [error, size] =
@@ -199,6 +259,7 @@
 asio::awaitable<std::optional<std::string>>
 HttpStream::Read(Duration aTimeout)
 {
+  const Instant deadline = Now() + aTimeout;
   this->stream.expires_after(aTimeout);
   while (!this->parser.is_done()) {
     const auto [error, size] =
@@ -209,8 +270,15 @@
       co_return piece;
     }
     if (error) {
-      this->timedOut = error == beast::error::timeout;
-      this->error = error.message();
+      this->Fail(error, "");
+      co_return std::nullopt;
+    }
+  }
+  if (this->parser.need_eof()) {
+    const beast::error_code error =
+      co_await AwaitRequestReceived(this->stream, *this->requestWrite, deadline);
+    if (error) {
+      this->Fail(error, " before the target had received the whole request");
       co_return std::nullopt;
     }
   }
@@ -218,6 +286,13 @@
   co_return std::nullopt;
 }
 
+void
+HttpStream::Fail(beast::error_code aError, const char* aCircumstance)
+{
+  this->timedOut = aError == beast::error::timeout;
+  this->error = aError.message() + aCircumstance;
+}
+
 void
 HttpStream::Close()
 {
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -1,6 +1,7 @@
 // Tests on loopback how the HTTP client treats responses that are cut short, reset or endless.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -21,15 +22,24 @@
 {
   Close,
   Reset,
-  Endless, // The filler is repeated until the client has closed the connection.
+  Endless,            // The filler is repeated until the client has closed the connection.
+  HalfCloseThenReset, // The peer ends its side, and resets the connection a little later.
+  HalfCloseThenRead,  // The peer ends its side, and reads the rest of the request.
 };
 
+// Requests longer than the sockets' buffers, so that their write is pending when the peer ends the
+// connection, and within them, so that it has ended. The peer's buffer is small.
+constexpr std::size_t kPendingRequestBytes = 16 * 1024 * 1024;
+constexpr std::size_t kBufferedRequestBytes = 512 * 1024;
+constexpr int kPeerBufferBytes = 64 * 1024;
+
 // The bytes that the peer sends in place of a well-formed response.
 struct RawResponse
 {
   std::string start;
   std::string filler; // Of an endless response.
   Ending ending = Ending::Close;
+  std::size_t requestBytes = 0; // Of the body of the client's request.
 };
 
 // A peer that sends one raw response and counts its bytes.
@@ -40,6 +50,7 @@
     : acceptor(aContext, *ParseEndpoint(kAddress))
     , response(std::move(aResponse))
   {
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(kPeerBufferBytes));
     asio::co_spawn(aContext, this->Serve(), asio::detached);
   }
 
@@ -50,7 +61,8 @@
   {
     tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
     std::string request(4096, '\0');
-    co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    this->receivedBytes =
+      co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
     this->sentBytes =
       co_await asio::async_write(socket, asio::buffer(this->response.start), asio::use_awaitable);
     // The write fails when the client has closed the connection, which ends this coroutine.
@@ -58,7 +70,21 @@
       this->sentBytes += co_await asio::async_write(
         socket, asio::buffer(this->response.filler), asio::use_awaitable);
     }
-    if (this->response.ending == Ending::Reset) {
+    const Ending ending = this->response.ending;
+    if (ending == Ending::HalfCloseThenReset || ending == Ending::HalfCloseThenRead) {
+      socket.shutdown(tcp::socket::shutdown_send);
+    }
+    if (ending != Ending::Close) {
+      // By then the client has read the response, and its request fills the sockets' buffers.
+      asio::steady_timer timer(socket.get_executor(), std::chrono::milliseconds(100));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    while (ending == Ending::HalfCloseThenRead &&
+           this->receivedBytes < this->response.requestBytes) {
+      this->receivedBytes +=
+        co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    }
+    if (ending == Ending::Reset || ending == Ending::HalfCloseThenReset) {
       socket.set_option(asio::socket_base::linger(true, 0));
       socket.close(); // The destructor would ignore the option.
     }
@@ -67,6 +93,7 @@
   tcp::acceptor acceptor;
   RawResponse response;
   std::size_t sentBytes = 0;
+  std::size_t receivedBytes = 0;
 };
 
 // What a client made of a response.
@@ -78,9 +105,10 @@
 };
 
 HttpCall
-MakeCall()
+MakeCall(std::size_t aBodyBytes)
 {
   HttpCall call;
+  call.body = MakeBody(std::string(aBodyBytes, 'b'));
   call.address = kAddress;
   call.method = "POST";
   call.target = "/";
@@ -89,17 +117,17 @@
 }
 
 asio::awaitable<void>
-FetchInto(Outcome& aOutcome)
+FetchInto(Outcome& aOutcome, std::size_t aBodyBytes)
 {
-  aOutcome.reply = co_await Fetch(MakeCall());
+  aOutcome.reply = co_await Fetch(MakeCall(aBodyBytes));
   aOutcome.isComplete = aOutcome.reply.stage == HttpStage::Responded;
 }
 
 asio::awaitable<void>
-StreamInto(Outcome& aOutcome)
+StreamInto(Outcome& aOutcome, std::size_t aBodyBytes)
 {
   HttpStream stream(co_await asio::this_coro::executor);
-  aOutcome.reply = co_await stream.Open(MakeCall());
+  aOutcome.reply = co_await stream.Open(MakeCall(aBodyBytes));
   while (aOutcome.reply.stage == HttpStage::Responded) {
     const auto piece = co_await stream.Read(std::chrono::seconds(20));
     if (!piece) {
@@ -112,12 +140,12 @@
 }
 
 Outcome
-Receive(asio::awaitable<void> (*aClient)(Outcome&), const RawResponse& aResponse)
+Receive(asio::awaitable<void> (*aClient)(Outcome&, std::size_t), const RawResponse& aResponse)
 {
   asio::io_context context(1);
   RawPeer peer(context, aResponse);
   Outcome outcome;
-  asio::co_spawn(context, aClient(outcome), asio::detached);
+  asio::co_spawn(context, aClient(outcome, aResponse.requestBytes), asio::detached);
   context.run_for(std::chrono::seconds(30));
   outcome.sentBytes = peer.SentBytes();
   return outcome;
@@ -128,6 +156,10 @@
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(HeadThatBreaksOffIsNoResponse);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
+  CPPUNIT_TEST(ResetWhileTheRequestIsSentIsNoEndOfTheBody);
+  CPPUNIT_TEST(ResetBehindTheEndOfTheResponseIsNoEndOfTheBody);
+  CPPUNIT_TEST(WholeResponseWithResetBehindItsEndIsLost);
+  CPPUNIT_TEST(ResponseBeforeTheRequestIsReadIsComplete);
   CPPUNIT_TEST(EndlessHeadIsAbandoned);
   CPPUNIT_TEST(EndlessChunkHeaderIsAbandoned);
   CPPUNIT_TEST(EndlessBodyIsAbandoned);
@@ -154,6 +186,57 @@
     CPPUNIT_ASSERT(!Receive(&StreamInto, { response, "", Ending::Reset }).isComplete);
   }
 
+  // Guards against a cut body that counts as whole because the pending write of the request took
+  // the error of the reset, so that the read saw the plain end of the connection.
+  void ResetWhileTheRequestIsSentIsNoEndOfTheBody()
+  {
+    const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+    const Outcome outcome =
+      Receive(&StreamInto, { response, "", Ending::Reset, kPendingRequestBytes });
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), outcome.reply.body);
+    CPPUNIT_ASSERT(!outcome.isComplete);
+  }
+
+  // Guards against a cut body that counts as whole because the end of the connection arrived before
+  // the reset: a peer that crashes sends both when the rest of the request is still on its way.
+  void ResetBehindTheEndOfTheResponseIsNoEndOfTheBody()
+  {
+    const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+    for (const std::size_t requestBytes : { kBufferedRequestBytes, kPendingRequestBytes }) {
+      const RawResponse cut{ response, "", Ending::HalfCloseThenReset, requestBytes };
+      CPPUNIT_ASSERT(!Receive(&StreamInto, cut).isComplete);
+    }
+  }
+
+  // The same guard for whole responses, such as those of services behind a sidecar.
+  void WholeResponseWithResetBehindItsEndIsLost()
+  {
+    const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+    const RawResponse cut{ response, "", Ending::HalfCloseThenReset, kBufferedRequestBytes };
+    CPPUNIT_ASSERT(Receive(&FetchInto, cut).reply.stage == HttpStage::Lost);
+    const RawResponse whole{ response, "", Ending::HalfCloseThenRead, kBufferedRequestBytes };
+    CPPUNIT_ASSERT(Receive(&FetchInto, whole).reply.stage == HttpStage::Responded);
+  }
+
+  // The other side: peers that respond early and are sound. A body with a length or in chunks is
+  // complete by itself, whatever happens to the request.
+  void ResponseBeforeTheRequestIsReadIsComplete()
+  {
+    const std::string withoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
+    for (const std::size_t requestBytes : { kBufferedRequestBytes, kPendingRequestBytes }) {
+      const RawResponse whole{ withoutLength, "", Ending::HalfCloseThenRead, requestBytes };
+      CPPUNIT_ASSERT(Receive(&StreamInto, whole).isComplete);
+    }
+    for (const char* framed :
+         { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" }) {
+      const RawResponse whole{ framed, "", Ending::Reset, kPendingRequestBytes };
+      const Outcome outcome = Receive(&StreamInto, whole);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), outcome.reply.body);
+      CPPUNIT_ASSERT(outcome.isComplete);
+    }
+  }
+
   void EndlessHeadIsAbandoned()
   {
     const RawResponse response{ "HTTP/1.1 200 OK\r\n",
