Keep a stalled attempt until another target has taken over

Cause: OnStall cancelled the running attempt before another target had accepted the request. If that one refused, nothing was left. Evidence: the entry's log of stream s0-0 says "the target was silent" after 1201 ms and 5 events, then "not-executed" by the full engine, then "broken-off" with "no target is known", all within 2 ms; the same without the stop.

Change: the stalled attempt goes on beside the one that follows. Whichever first brings something for the caller goes on alone; if the other one ends without it, the entry returns to the stalled one. This works because nothing is given up before its replacement has got on.

At most once and refusals are untouched: calls that may not be repeated never stall, the second attempt draws on the same budget and counts against the route's attempts, and 503 still needs that nothing may have run.

--- a/include/sycamorepost/Types.h
+++ b/include/sycamorepost/Types.h
@@ -34,6 +34,14 @@
 // One HTTP header field or one log annotation.
 using Field = std::pair<std::string, std::string>;
 
+// What became of a connection that was opened for a check.
+enum class Reachability
+{
+  Accepted,
+  Refused, // Nothing listens at the address.
+  NoReply, // The target, or the network to it, does not respond.
+};
+
 // Moves a text into a shared body.
 inline SharedBody
 MakeBody(std::string aText)
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -93,7 +93,7 @@
 struct TargetChecked
 {
   std::string instance;
-  bool refusesConnections = false; // Nothing listens at the address.
+  Reachability reachability = Reachability::NoReply;
 };
 
 // The end of a command to reserve or release memory.
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/ForwardAttempts.cpp
@@ -83,7 +83,7 @@
     return;
   }
   const bool serverError = aHead.status / 100 == 5;
-  const bool mayRetry = serverError && this->MayRetry(*state);
+  const bool mayRetry = serverError && (this->MayRetry(*state) || !state->otherAttempts.empty());
   // A stream that has begun goes on with events only.
   if (state->headSent ? aHead.status != 200 : mayRetry) {
     this->loadTracker.RecordFailure(instance, this->now);
@@ -164,6 +164,7 @@
 void
 ForwardReducer::Impl::PassOnEvents(RequestState& aState, std::string aEvents)
 {
+  this->CancelOthers(aState);
   if (!aState.headSent) {
     aState.headSent = true;
     this->effects.emplace_back(
@@ -203,6 +204,9 @@
     state->triedInstances.insert(instance);
     state->lastFailure = "target " + instance + " was not reached: " + aEnd.reason;
     this->Log(*state, "not-reached", { { "target", instance }, { "reason", aEnd.reason } }, true);
+    if (this->ReturnToOther(*state, false)) {
+      return;
+    }
     if (++state->unreachableAttempts >= kMaxUnreachableTargets) {
       this->FailRequest(*state, state->lastFailure);
       return;
@@ -291,6 +295,9 @@
   aState.isTrial = false;
   this->CloseAttempt(aState, aCancel);
   aState.triedInstances.insert(instance);
+  if (this->ReturnToOther(aState, false)) {
+    return;
+  }
   if (mayRetry && this->TrySpendRetry(aState)) {
     this->Launch(aState);
   } else {
@@ -316,6 +323,9 @@
   this->CloseAttempt(aState, true);
   aState.triedInstances.insert(instance);
   --aState.runs;
+  if (this->ReturnToOther(aState, false)) {
+    return;
+  }
   if (this->TrySpendRetry(aState)) {
     this->Launch(aState);
   } else {
@@ -345,10 +355,14 @@
   return spent;
 }
 
-// Ends a request that cannot be served. Only the status 503 tells the caller that it did not run.
+// Ends a request that cannot be served, unless a stalled attempt may still succeed. Only the
+// status 503 tells the caller that it did not run.
 void
 ForwardReducer::Impl::FailRequest(RequestState& aState, const std::string& aReason)
 {
+  if (this->now < aState.deadline && this->ReturnToOther(aState, true)) {
+    return;
+  }
   if (aState.headSent) {
     this->Log(aState, "broken-off", { { "reason", aReason } }, true);
     this->Count("forward_broken_off", "");
--- a/src/core/forward/ForwardCrashes.cpp
+++ b/src/core/forward/ForwardCrashes.cpp
@@ -101,9 +101,12 @@
 void
 ForwardReducer::Impl::OnEvent(const TargetChecked& aChecked)
 {
-  if (aChecked.refusesConnections) {
+  if (aChecked.reachability == Reachability::Refused) {
     this->ConfirmCrash(aChecked.instance);
   }
+  if (aChecked.reachability != Reachability::Accepted) {
+    this->FailStalledAttempts(aChecked.instance);
+  }
 }
 
 // Reports a crash here and to all entries. Nothing happens when no prompt was running there.
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,9 +1,10 @@
 // The state of the forwarding reducer. Its member functions are defined in ForwardAdmission.cpp,
-// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardCrashes.cpp, ForwardReservations.cpp,
-// ForwardConfiguration.cpp and ForwardReducer.cpp.
+// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardTakeover.cpp, ForwardCrashes.cpp,
+// ForwardReservations.cpp, ForwardConfiguration.cpp and ForwardReducer.cpp.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
+#include <algorithm>
 #include <random>
 #include <set>
 
@@ -65,11 +66,20 @@
   std::string body;              // Of a response that is passed on as a whole.
   bool isStream = false;         // Its events are passed on as they are received.
   bool delivered = false;        // At least one of its events was passed on.
+  bool isStalled = false;        // Its target has sent nothing for too long.
   std::uint32_t eventCount = 0;  // Complete events received.
   std::size_t bufferedBytes = 0; // Of the body and the incomplete event, as counted in the total.
   EventStreamParser events;
 };
 
+// Another attempt of a request, beside the current one. It is kept because its target may be at
+// work, until one of the attempts brings something for the caller.
+struct OtherAttempt
+{
+  Attempt attempt;
+  std::vector<HelperReservation> reservations; // Those that it uses.
+};
+
 // The state of one request of a caller.
 struct RequestState
 {
@@ -80,12 +90,23 @@
   std::string account;
   std::uint32_t priority = 0;
   Instant arrivedAt;
-  Instant deadline; // For the complete response.
-  std::optional<Attempt> attempt;
-  std::vector<HelperReservation> reservations;
-  std::optional<Placement> pendingPlacement; // Started once its reservations are granted.
-  Instant renewAt;                           // When the reservations are renewed.
-  Instant stallAt = Instant::max();          // When a silent target counts as failed.
+  Instant deadline;                            // For the complete response.
+  std::optional<Attempt> attempt;              // The current one.
+  std::vector<HelperReservation> reservations; // Of the current attempt or pending placement.
+  std::optional<Placement> pendingPlacement;   // Started once its reservations are granted.
+  std::vector<OtherAttempt> otherAttempts;
+
+  // Returns whether memory is reserved, or being reserved, for any of the attempts.
+  bool HasReservations() const
+  {
+    return !this->reservations.empty() ||
+           std::any_of(this->otherAttempts.begin(),
+                       this->otherAttempts.end(),
+                       [](const OtherAttempt& aOther) { return !aOther.reservations.empty(); });
+  }
+
+  Instant renewAt;                  // When the reservations are renewed.
+  Instant stallAt = Instant::max(); // When the attempt counts as stalled.
   Instant wakeAt = Instant::max();
   std::set<std::string> triedInstances;
   std::uint32_t runs = 0;                // Attempts that may have run.
@@ -172,6 +193,17 @@
   Duration FirstEventTimeout(const internal::RequestState& aState) const;
   internal::RequestState* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
+  void EndWork(const internal::Attempt& aAttempt, bool aCancel);
+
+  // Attempts beside the current one.
+  void SetAside(internal::RequestState& aState);
+  void MakeCurrent(internal::RequestState& aState, std::uint64_t aAttempt);
+  bool ReturnToOther(internal::RequestState& aState, bool aMayBeStalled);
+  void CancelOthers(internal::RequestState& aState);
+  void FailStalledAttempts(const std::string& aInstance);
+  void LogTakeover(const internal::RequestState& aState,
+                   const internal::Attempt& aOther,
+                   const char* aResult);
   void DeliverEvents(internal::RequestState& aState, const std::string& aBytes);
   void PassOnEvents(internal::RequestState& aState, std::string aEvents);
   void CompleteBuffered(internal::RequestState& aState);
@@ -201,7 +233,7 @@
   void SendReserve(internal::HelperReservation& aReservation, std::uint64_t aHandle);
   void TryStartReserved(internal::RequestState& aState);
   void RenewReservations(internal::RequestState& aState);
-  void ReleaseReservations(internal::RequestState& aState);
+  void ReleaseReservations(std::vector<internal::HelperReservation>& aReservations);
   void SendRelease(internal::PendingRelease aRelease);
 
   // Timers, budgets, peers and logging.
--- a/src/core/forward/ForwardLaunch.cpp
+++ b/src/core/forward/ForwardLaunch.cpp
@@ -35,7 +35,7 @@
 constexpr int kPlainCallDivisor = 3;
 
 // A prompt whose first event is predicted to take longer than kLongPrefill is not prefilled again
-// because of a silent target alone, unless the silence exceeds kLongPrefillStallObjectives
+// because its attempt stalls, unless the gap exceeds kLongPrefillStallObjectives
 // objectives: a connection to a lost VM fails by itself.
 constexpr Duration kLongPrefill = std::chrono::milliseconds(150);
 constexpr int kLongPrefillStallObjectives = 2;
@@ -245,7 +245,7 @@
                        : kMinStallTimeout);
 }
 
-// A silent target counts as failed only where the request may be retried.
+// An attempt stalls only where the request may be retried.
 void
 ForwardReducer::Impl::ArmStallTimer(RequestState& aState, Duration aTimeout)
 {
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -195,7 +195,7 @@
       this->OnDeadline(state);
       continue;
     }
-    if (!state.reservations.empty() && this->now >= state.renewAt) {
+    if (state.HasReservations() && this->now >= state.renewAt) {
       this->RenewReservations(state);
     }
     if (this->now >= state.stallAt) {
@@ -316,27 +316,6 @@
   });
 }
 
-void
-ForwardReducer::Impl::OnStall(RequestState& aState)
-{
-  const std::string& instance = aState.attempt->placement.target.instance;
-  aState.stallAt = Instant::max();
-  // Another target can take over only when one is left and the budget allows it.
-  const bool hasAlternative =
-    std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& aTarget) {
-      return aTarget.second.service == aState.service && aTarget.first != instance &&
-             this->IsUsable(aTarget.first) && !aState.triedInstances.contains(aTarget.first);
-    });
-  if (!hasAlternative || !this->MayRetry(aState) || !this->TrySpendRetry(aState)) {
-    this->loadTracker.RecordFailure(instance, this->now);
-    this->Log(aState, "silent", { { "target", instance } }, true);
-    this->SetWake(aState);
-    return;
-  }
-  aState.hasRetry = true;
-  this->FailAttempt(aState, "the target was silent", true);
-}
-
 void
 ForwardReducer::Impl::OnDeadline(RequestState& aState)
 {
@@ -354,7 +333,8 @@
   if (aState.attempt) {
     this->CloseAttempt(aState, true);
   }
-  this->ReleaseReservations(aState);
+  this->CancelOthers(aState);
+  this->ReleaseReservations(aState.reservations);
   this->timers.erase({ aState.wakeAt, aState.request.handle });
   this->requests.erase(aState.request.handle);
 }
@@ -362,24 +342,36 @@
 void
 ForwardReducer::Impl::CloseAttempt(RequestState& aState, bool aCancel)
 {
-  Attempt& attempt = *aState.attempt;
-  for (const PlacedWork& work : attempt.placement.placedWork) {
-    this->loadTracker.Remove(work, attempt.delivered, this->now);
+  this->EndWork(*aState.attempt, aCancel);
+  aState.attempt.reset();
+  aState.stallAt = Instant::max();
+}
+
+void
+ForwardReducer::Impl::EndWork(const Attempt& aAttempt, bool aCancel)
+{
+  for (const PlacedWork& work : aAttempt.placement.placedWork) {
+    this->loadTracker.Remove(work, aAttempt.delivered, this->now);
   }
   if (aCancel) {
-    this->effects.emplace_back(CancelAttempt{ attempt.id });
+    this->effects.emplace_back(CancelAttempt{ aAttempt.id });
   }
-  this->attemptOwner.erase(attempt.id);
-  this->bufferedBytes -= attempt.bufferedBytes;
-  aState.attempt.reset();
-  aState.stallAt = Instant::max();
+  this->attemptOwner.erase(aAttempt.id);
+  this->bufferedBytes -= aAttempt.bufferedBytes;
 }
 
+// Returns the request of an attempt, which becomes the current one; null when it has ended.
 RequestState*
 ForwardReducer::Impl::FindAttempt(std::uint64_t aAttempt)
 {
   const auto owner = this->attemptOwner.find(aAttempt);
-  return owner == this->attemptOwner.end() ? nullptr : &this->requests.at(owner->second);
+  if (owner == this->attemptOwner.end()) {
+    return nullptr;
+  }
+  RequestState& state = this->requests.at(owner->second);
+  this->MakeCurrent(state, aAttempt);
+  state.attempt->isStalled = false;
+  return &state;
 }
 
 void
@@ -387,7 +379,7 @@
 {
   this->timers.erase({ aState.wakeAt, aState.request.handle });
   aState.wakeAt = std::min(aState.deadline, aState.stallAt);
-  if (!aState.reservations.empty()) {
+  if (aState.HasReservations()) {
     aState.wakeAt = std::min(aState.wakeAt, aState.renewAt);
   }
   this->timers.insert({ aState.wakeAt, aState.request.handle });
@@ -547,6 +539,7 @@
         { "age_ms", ToMillis(aNow - state.arrivedAt) },
         { "runs", state.runs },
         { "reservations", state.reservations.size() },
+        { "other_attempts", state.otherAttempts.size() },
         { "target", state.attempt ? state.attempt->placement.target.instance : "" } });
   }
   for (const auto& [name, peer] : this->peers) {
--- a/src/core/forward/ForwardReservations.cpp
+++ b/src/core/forward/ForwardReservations.cpp
@@ -15,6 +15,23 @@
 // Attempts to release; the lease has expired by itself after as many timeouts of a command.
 constexpr std::uint32_t kMaxReleaseAttempts = 6;
 
+// Returns the reservations of all attempts of a request.
+std::vector<HelperReservation*>
+AllReservations(RequestState& aState)
+{
+  std::vector<HelperReservation*> all;
+  const auto append = [&](std::vector<HelperReservation>& aReservations) {
+    for (HelperReservation& reservation : aReservations) {
+      all.push_back(&reservation);
+    }
+  };
+  append(aState.reservations);
+  for (internal::OtherAttempt& other : aState.otherAttempts) {
+    append(other.reservations);
+  }
+  return all;
+}
+
 } // namespace
 
 // Reserves the memory that a placement needs on helpers. Returns false when it needs none. A
@@ -23,7 +40,7 @@
 bool
 ForwardReducer::Impl::ReserveMemory(RequestState& aState, const Placement& aPlacement)
 {
-  this->ReleaseReservations(aState);
+  this->ReleaseReservations(aState.reservations);
   for (const PrefillHelper& helper : aPlacement.helpers) {
     if (helper.reserveTokens == 0) {
       continue;
@@ -84,16 +101,16 @@
   }
   RequestState& state = this->requests.at(owner->second);
   this->commandOwner.erase(owner);
-  for (HelperReservation& reservation : state.reservations) {
-    if (reservation.command == aEnd.command) {
-      reservation.command = 0;
-      reservation.granted = reservation.granted || aEnd.granted;
+  for (HelperReservation* reservation : AllReservations(state)) {
+    if (reservation->command == aEnd.command) {
+      reservation->command = 0;
+      reservation->granted = reservation->granted || aEnd.granted;
       if (!aEnd.granted) {
-        state.triedInstances.insert(reservation.instance);
+        state.triedInstances.insert(reservation->instance);
         this->Log(state,
                   "not-reserved",
-                  { { "target", reservation.instance },
-                    { "tokens", std::to_string(reservation.tokens) },
+                  { { "target", reservation->instance },
+                    { "tokens", std::to_string(reservation->tokens) },
                     { "answered", aEnd.replied ? "yes" : "no" } },
                   true);
       }
@@ -129,16 +146,16 @@
     }
     return;
   }
-  this->ReleaseReservations(aState);
+  this->ReleaseReservations(aState.reservations);
   this->Launch(aState);
 }
 
 void
 ForwardReducer::Impl::RenewReservations(RequestState& aState)
 {
-  for (HelperReservation& reservation : aState.reservations) {
-    if (reservation.granted && reservation.command == 0) {
-      this->SendReserve(reservation, aState.request.handle);
+  for (HelperReservation* reservation : AllReservations(aState)) {
+    if (reservation->granted && reservation->command == 0) {
+      this->SendReserve(*reservation, aState.request.handle);
     }
   }
   aState.renewAt = this->now + this->config.reservationLease / kRenewalsPerLease;
@@ -146,13 +163,13 @@
 
 // Includes reservations that were never confirmed, as the command may have been executed.
 void
-ForwardReducer::Impl::ReleaseReservations(RequestState& aState)
+ForwardReducer::Impl::ReleaseReservations(std::vector<HelperReservation>& aReservations)
 {
-  for (const HelperReservation& reservation : aState.reservations) {
+  for (const HelperReservation& reservation : aReservations) {
     this->commandOwner.erase(reservation.command);
     this->SendRelease({ reservation });
   }
-  aState.reservations.clear();
+  aReservations.clear();
 }
 
 void
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -251,10 +251,9 @@
 asio::awaitable<HttpReply>
 Fetch(HttpCall aCall);
 
-// Returns whether nothing listens at "ip:port". When there is no reply, that is unknown, and the
-// result is false.
-asio::awaitable<bool>
-RefusesConnections(std::string aAddress);
+// Opens a connection to "ip:port" and closes it again.
+asio::awaitable<Reachability>
+CheckReachability(std::string aAddress);
 
 // A request whose response body is read as it arrives.
 class HttpStream
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -203,19 +203,23 @@
   co_return reply;
 }
 
-asio::awaitable<bool>
-RefusesConnections(std::string aAddress)
+asio::awaitable<Reachability>
+CheckReachability(std::string aAddress)
 {
   // A live VM replies within a round trip; this includes one retransmission.
   static constexpr Duration kReplyTimeout = std::chrono::milliseconds(300);
   const auto endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
-    co_return false;
+    co_return Reachability::NoReply;
   }
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   stream.expires_after(kReplyTimeout);
   const auto [error] = co_await stream.async_connect(*endpoint, kAsTuple);
-  co_return error == asio::error::connection_refused;
+  if (!error) {
+    co_return Reachability::Accepted;
+  }
+  co_return error == asio::error::connection_refused ? Reachability::Refused
+                                                     : Reachability::NoReply;
 }
 
 HttpStream::HttpStream(asio::any_io_executor aExecutor)
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -200,8 +200,8 @@
 asio::awaitable<void>
 ForwardDaemon::RunCheck(CheckTarget aCheck)
 {
-  const bool refuses = co_await RefusesConnections(aCheck.address);
-  this->Step(TargetChecked{ aCheck.instance, refuses });
+  const Reachability reachability = co_await CheckReachability(aCheck.address);
+  this->Step(TargetChecked{ aCheck.instance, reachability });
 }
 
 asio::awaitable<void>
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -1,7 +1,15 @@
 // Unit tests of ForwardReducer: routes and API keys, retries, resumed streams, refusals that
 // guarantee that the call did not run, KV reservations, placement and load shedding.
+#include <array>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
 #include "harness/VirtualTime.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 
@@ -104,8 +112,11 @@
         ++this->aborted;
       } else if (std::holds_alternative<CompleteResponse>(effect)) {
         ++this->completed;
-      } else if (std::holds_alternative<CancelAttempt>(effect)) {
+      } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
         ++this->cancelled;
+        this->cancelledAttempts.insert(cancel->attempt);
+      } else if (const auto* check = std::get_if<CheckTarget>(&effect)) {
+        this->checks.push_back(check->instance);
       }
     }
     return effects;
@@ -159,6 +170,22 @@
     this->Step(AttemptEnd{ this->starts.back().attempt, aKind, "test" });
   }
 
+  // Like the functions above, for an attempt that is not the last one.
+  void ReceiveEventOf(const StartAttempt& aStart, int aId)
+  {
+    this->Step(AttemptData{ aStart.attempt, "id: " + std::to_string(aId) + "\ndata: x\n\n" });
+  }
+
+  void EndAttemptOf(const StartAttempt& aStart, AttemptEndKind aKind)
+  {
+    this->Step(AttemptEnd{ aStart.attempt, aKind, "test" });
+  }
+
+  bool IsCancelled(const StartAttempt& aStart) const
+  {
+    return this->cancelledAttempts.contains(aStart.attempt);
+  }
+
   void AdvanceTime(Duration aDuration) { harness::AdvanceTime(*this, aDuration); }
 
   ForwardReducer reducer;
@@ -171,6 +198,8 @@
   int aborted = 0;
   int completed = 0;
   int cancelled = 0;
+  std::set<std::uint64_t> cancelledAttempts;
+  std::vector<std::string> checks; // Instances that were checked.
   std::uint64_t lastHandle = 0;
 };
 
@@ -192,6 +221,13 @@
   CPPUNIT_TEST(EventsBeforeMissingEventAreDelivered);
   CPPUNIT_TEST(ErrorTextOfNextEngineStaysOutOfStream);
   CPPUNIT_TEST(StreamThatEndsWithItsConnectionEarlyIsNotComplete);
+  CPPUNIT_TEST(UnresponsiveEngineGoesOnWhenNoOtherTakesItsStream);
+  CPPUNIT_TEST(UnresponsiveEngineIsCancelledWhenAnotherHasTakenOver);
+  CPPUNIT_TEST(UnresponsiveEngineThatGoesOnKeepsItsStream);
+  CPPUNIT_TEST(UnresponsiveTargetMayStillRespondToWholeCall);
+  CPPUNIT_TEST(UnresponsiveEngineKeepsItsReservations);
+  CPPUNIT_TEST(UnresponsiveEngineThatIsDownKeepsNoReservations);
+  CPPUNIT_TEST(StreamsOfEnginesThatPauseAndFailStayInOrder);
   CPPUNIT_TEST(EndlessBytesEndTheAttempt);
   CPPUNIT_TEST(ManyEndlessResponsesShareTheMemory);
   CPPUNIT_TEST(RefusalOfAnotherRequestIsNoPromise);
@@ -364,6 +400,293 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *driver.starts.back().resumeAfter);
   }
 
+  // Begins a stream whose engine sends one event and then nothing until another one is tried.
+  static void BeginStalledStream(ForwardReducerDriver& aDriver)
+  {
+    aDriver.SendRequest("/draft/", 5000);
+    aDriver.ReceiveHead(200);
+    aDriver.ReceiveData(MakeEvent(1));
+    aDriver.AdvanceTime(milliseconds(1100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), aDriver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *aDriver.starts.back().resumeAfter);
+    CPPUNIT_ASSERT_EQUAL(0, aDriver.cancelled);
+  }
+
+  // Guards against a stream that is cut because its engine paused for a second, and was cancelled
+  // before another one had accepted the request.
+  void UnresponsiveEngineGoesOnWhenNoOtherTakesItsStream()
+  {
+    struct Case
+    {
+      const char* name;
+      std::function<void(ForwardReducerDriver&)> decline;
+    };
+    const std::array<Case, 4> cases{ {
+      { "full", [](auto& aDriver) { aDriver.ReceiveHead(503, true); } },
+      { "failing", [](auto& aDriver) { aDriver.ReceiveHead(500); } },
+      { "crashing", [](auto& aDriver) { aDriver.EndAttempt(AttemptEndKind::Aborted); } },
+      { "unreachable", [](auto& aDriver) { aDriver.EndAttempt(AttemptEndKind::NotConnected); } },
+    } };
+    for (const Case& one : cases) {
+      ForwardReducerDriver driver;
+      BeginStalledStream(driver);
+      // Each of the other engines declines the stream.
+      for (std::size_t tried = 0; tried != driver.starts.size();) {
+        tried = driver.starts.size();
+        one.decline(driver);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 0, driver.aborted);
+      // The pause of the first one ends, and so does its stream.
+      driver.AdvanceTime(milliseconds(500));
+      driver.ReceiveEventOf(driver.starts.front(), 2);
+      driver.EndAttemptOf(driver.starts.front(), AttemptEndKind::Complete);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, MakeEvent(1) + MakeEvent(2), driver.delivered);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 1, driver.completed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 0, driver.aborted);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), driver.reducer.InFlight());
+    }
+  }
+
+  // The other side: a dead engine costs its stream no more time than before.
+  void UnresponsiveEngineIsCancelledWhenAnotherHasTakenOver()
+  {
+    ForwardReducerDriver driver;
+    BeginStalledStream(driver);
+    driver.ReceiveHead(200);
+    CPPUNIT_ASSERT_EQUAL(0, driver.cancelled);
+    driver.ReceiveData(MakeEvent(2));
+    CPPUNIT_ASSERT_EQUAL(1, driver.cancelled);
+    CPPUNIT_ASSERT(driver.IsCancelled(driver.starts.front()));
+    // What is still on its way from the first one reaches nobody.
+    driver.ReceiveEventOf(driver.starts.front(), 2);
+    driver.EndAttempt(AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(1) + MakeEvent(2), driver.delivered);
+    CPPUNIT_ASSERT_EQUAL(1, driver.completed);
+
+    // The first engine turns out to be dead while the second one prefills.
+    ForwardReducerDriver crashed;
+    BeginStalledStream(crashed);
+    crashed.EndAttemptOf(crashed.starts.front(), AttemptEndKind::Aborted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), crashed.starts.size());
+    crashed.ReceiveHead(200);
+    crashed.ReceiveData(MakeEvent(2));
+    crashed.EndAttempt(AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(1, crashed.completed);
+
+    // Both fail, and the caller learns it.
+    ForwardReducerDriver failed;
+    BeginStalledStream(failed);
+    failed.EndAttemptOf(failed.starts.front(), AttemptEndKind::Aborted);
+    failed.EndAttempt(AttemptEndKind::Aborted);
+    CPPUNIT_ASSERT_EQUAL(1, failed.aborted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), failed.reducer.InFlight());
+
+    // The caller leaves while both are at work.
+    ForwardReducerDriver left;
+    BeginStalledStream(left);
+    left.Step(ForwardCallerDisconnected{ left.lastHandle });
+    CPPUNIT_ASSERT_EQUAL(2, left.cancelled);
+  }
+
+  // Guards against events of two engines in one stream.
+  void UnresponsiveEngineThatGoesOnKeepsItsStream()
+  {
+    ForwardReducerDriver driver;
+    BeginStalledStream(driver);
+    const StartAttempt first = driver.starts[0];
+    const StartAttempt second = driver.starts[1];
+    driver.ReceiveHead(200);
+    // Part of an event from either of them decides nothing.
+    driver.Step(AttemptData{ first.attempt, "id: 2\nda" });
+    driver.Step(AttemptData{ second.attempt, "id: 2\n" });
+    CPPUNIT_ASSERT_EQUAL(0, driver.cancelled);
+    driver.Step(AttemptData{ first.attempt, "ta: x\n\n" });
+    CPPUNIT_ASSERT(driver.IsCancelled(second));
+    driver.Step(AttemptData{ second.attempt, "data: x\n\n" });
+    driver.ReceiveEventOf(first, 3);
+    driver.EndAttemptOf(first, AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(MakeEvent(1) + MakeEvent(2) + MakeEvent(3), driver.delivered);
+    CPPUNIT_ASSERT_EQUAL(1, driver.completed);
+  }
+
+  // Guards against a refusal, by a busy second target, of a call on which the first is at work.
+  void UnresponsiveTargetMayStillRespondToWholeCall()
+  {
+    ForwardReducerDriver driver;
+    driver.SendRequest("/look/");
+    driver.AdvanceTime(milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+    for (std::size_t tried = 0; tried != driver.starts.size();) {
+      tried = driver.starts.size();
+      driver.ReceiveHead(503, true);
+    }
+    CPPUNIT_ASSERT(driver.responses.empty());
+    const StartAttempt first = driver.starts.front();
+    AttemptHead head;
+    head.attempt = first.attempt;
+    head.status = 200;
+    head.isSigned = true;
+    driver.Step(head);
+    driver.Step(AttemptData{ first.attempt, "found" });
+    driver.EndAttemptOf(first, AttemptEndKind::Complete);
+    CPPUNIT_ASSERT_EQUAL(200, driver.responses.back().status);
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), driver.responses.back().body);
+
+    // A call that may not be repeated waits for its one target.
+    driver.SendRequest("/book/");
+    const std::size_t starts = driver.starts.size();
+    driver.AdvanceTime(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(starts, driver.starts.size());
+  }
+
+  // Guards against memory that is taken from an unresponsive engine, or kept for nobody once
+  // another has taken over.
+  void UnresponsiveEngineKeepsItsReservations()
+  {
+    ForwardReducerDriver driver(6);
+    const auto grantAll = [&](std::size_t aFrom) {
+      for (std::size_t i = aFrom; i < driver.commands.size(); ++i) {
+        const SendReservationCommand command = driver.commands[i];
+        driver.Step(ReservationCommandEnd{ command.command, true, true, command.instance });
+      }
+    };
+    driver.SendRequest("/sift/", 154'000);
+    const std::size_t reserved = driver.commands.size();
+    CPPUNIT_ASSERT(reserved > 0);
+    grantAll(0);
+    driver.ReceiveHead(200);
+    driver.ReceiveData(MakeEvent(1));
+    for (int second = 0; second < 5 && driver.starts.size() == 1; ++second) {
+      const std::size_t known = driver.commands.size();
+      driver.AdvanceTime(std::chrono::seconds(1));
+      grantAll(known);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+    const auto countReleases = [&] {
+      return std::count_if(driver.commands.begin(), driver.commands.end(), [](const auto& aOne) {
+        return aOne.tokens == 0;
+      });
+    };
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), countReleases());
+    driver.ReceiveHead(200);
+    driver.ReceiveData(MakeEvent(2));
+    CPPUNIT_ASSERT(driver.IsCancelled(driver.starts.front()));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(reserved), countReleases());
+    driver.EndAttempt(AttemptEndKind::Complete);
+    std::set<std::string> open;
+    for (const SendReservationCommand& command : driver.commands) {
+      if (command.tokens > 0) {
+        open.insert(command.reservation);
+      } else {
+        open.erase(command.reservation);
+      }
+    }
+    CPPUNIT_ASSERT(open.empty());
+  }
+
+  // Guards against memory that stays reserved on helpers while an unresponsive engine is down.
+  void UnresponsiveEngineThatIsDownKeepsNoReservations()
+  {
+    for (const Reachability reachability : { Reachability::Refused, Reachability::NoReply }) {
+      ForwardReducerDriver driver(6);
+      driver.SendRequest("/sift/", 154'000);
+      for (std::size_t i = 0; i < driver.commands.size(); ++i) {
+        const SendReservationCommand command = driver.commands[i];
+        driver.Step(ReservationCommandEnd{ command.command, true, true, command.instance });
+      }
+      const StartAttempt first = driver.starts.front();
+      driver.ReceiveHead(200);
+      driver.ReceiveData(MakeEvent(1));
+      driver.AdvanceTime(std::chrono::seconds(5));
+      CPPUNIT_ASSERT_EQUAL(first.instance, driver.checks.back());
+      CPPUNIT_ASSERT(!driver.IsCancelled(first));
+      driver.Step(TargetChecked{ first.instance, reachability });
+      CPPUNIT_ASSERT(driver.IsCancelled(first));
+      const std::string name = first.helpers.front().reservation;
+      CPPUNIT_ASSERT(std::any_of(
+        driver.commands.begin(), driver.commands.end(), [&](const SendReservationCommand& aOne) {
+          return aOne.reservation == name && aOne.tokens == 0;
+        }));
+    }
+  }
+
+  // Guards against events that are lost, repeated or mixed, and against work and memory that nobody
+  // ends, in any order of pauses, failures and takeovers.
+  void StreamsOfEnginesThatPauseAndFailStayInOrder()
+  {
+    static constexpr int kEvents = 6;
+    static constexpr int kSeeds = 400;
+    int completed = 0;
+    for (int seed = 1; seed <= kSeeds; ++seed) {
+      ForwardReducerDriver driver(6, static_cast<std::uint64_t>(seed));
+      std::mt19937 random(static_cast<std::mt19937::result_type>(seed));
+      std::map<std::uint64_t, int> nextEvents; // Of attempts whose response has begun.
+      std::set<std::uint64_t> ended;
+      const bool isLong = seed % 2 == 0;
+      driver.SendRequest(isLong ? "/sift/" : "/draft/", isLong ? 154'000 : 5000);
+      std::size_t handledCommands = 0;
+      while (driver.reducer.InFlight() > 0) {
+        for (; handledCommands < driver.commands.size(); ++handledCommands) {
+          const SendReservationCommand command = driver.commands[handledCommands];
+          driver.Step(
+            ReservationCommandEnd{ command.command, true, random() % 8 > 0, command.instance });
+        }
+        driver.AdvanceTime(milliseconds(random() % 1200));
+        if (driver.starts.empty()) {
+          continue;
+        }
+        const StartAttempt start = driver.starts[random() % driver.starts.size()];
+        if (ended.contains(start.attempt) || driver.IsCancelled(start)) {
+          continue;
+        }
+        const auto next = nextEvents.find(start.attempt);
+        const auto action = random() % 10;
+        if (action == 0) {
+          ended.insert(start.attempt);
+          driver.EndAttemptOf(start, AttemptEndKind::Aborted);
+        } else if (next == nextEvents.end()) {
+          AttemptHead head;
+          head.attempt = start.attempt;
+          head.notExecuted = action == 1;
+          head.status = head.notExecuted ? 503 : 200;
+          head.isSigned = !head.notExecuted;
+          nextEvents[start.attempt] = static_cast<int>(start.resumeAfter.value_or(0)) + 1;
+          driver.Step(head);
+        } else if (next->second <= kEvents) {
+          driver.ReceiveEventOf(start, next->second++);
+        } else {
+          ended.insert(start.attempt);
+          driver.EndAttemptOf(start, AttemptEndKind::Complete);
+        }
+      }
+      const std::string name = "seed " + std::to_string(seed);
+      std::string expected;
+      for (int id = 1; expected.size() < driver.delivered.size(); ++id) {
+        expected += MakeEvent(id);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, expected, driver.delivered);
+      if (driver.completed > 0) {
+        ++completed;
+        CPPUNIT_ASSERT_MESSAGE(name, driver.delivered.ends_with(MakeEvent(kEvents)));
+      }
+      std::set<std::string> reserved;
+      for (const SendReservationCommand& command : driver.commands) {
+        if (command.tokens > 0) {
+          reserved.insert(command.reservation);
+        } else {
+          reserved.erase(command.reservation);
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(name, reserved.empty());
+      // No engine is taken for one that is still at work.
+      const nlohmann::json dump = driver.reducer.Dump(driver.now);
+      for (const auto& target : dump.at("targets")) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 0, target.at("running").get<int>());
+      }
+    }
+    CPPUNIT_ASSERT(completed > kSeeds / 4);
+  }
+
   // Guards against an error text in the middle of a stream, or as its end, when the engine that
   // takes over responds with an error.
   void ErrorTextOfNextEngineStaysOutOfStream()
--- a/test/harness/CrashFleet.cpp
+++ b/test/harness/CrashFleet.cpp
@@ -282,7 +282,9 @@
   } else if (const auto* check = std::get_if<CheckTarget>(&aEffect)) {
     this->StepLater(aEntry,
                     2 * kNetworkDelay,
-                    TargetChecked{ check->instance, !this->IsListening(check->address) });
+                    TargetChecked{ check->instance,
+                                   this->IsListening(check->address) ? Reachability::Accepted
+                                                                     : Reachability::Refused });
   } else if (const auto* begin = std::get_if<BeginResponse>(&aEffect)) {
     this->requests[begin->handle].hasBegun = true;
   } else if (const auto* response = std::get_if<SendResponse>(&aEffect)) {
