Resume the session of a caller that has left

Cause: the reducer ends the request of a caller that has disconnected without an effect for the session, whose coroutine waits for one for good.

Change: the session is resumed after that step. The metrics count callers' connections and sessions. Only sessions whose request has ended are resumed, so at most once and refusals are untouched.

--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -405,6 +405,8 @@
   this->metrics.Set("configuration_version",
                     static_cast<double>(this->follower.ConfigurationVersion()));
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
+  this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
+  this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
   this->metrics.Set("peer_messages_dropped", static_cast<double>(this->bus.Dropped()));
   this->metrics.Set("peer_messages_malformed", static_cast<double>(this->bus.Malformed()));
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -75,6 +75,7 @@
   void Execute(LogDecision& aDecision);
   Session* FindSession(std::uint64_t aHandle);
 
+  void EndSession(std::uint64_t aHandle);
   asio::awaitable<void> Serve(HttpRequest aRequest, HttpExchange& aExchange);
   asio::awaitable<void> DeliverResponse(Session& aSession, HttpExchange& aExchange);
   asio::awaitable<void> DeliverStream(Session& aSession, HttpExchange& aExchange);
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -82,8 +82,7 @@
     std::make_shared<const ForwardRequest>(platform::DecodeRequest(aRequest, handle));
   aRequest = {};
   this->sessions[handle] = session;
-  aExchange.WatchClose(session,
-                       [this, handle] { this->Step(ForwardCallerDisconnected{ handle }); });
+  aExchange.WatchClose(session, [this, handle] { this->EndSession(handle); });
   this->Step(*session->request);
   co_await this->DeliverResponse(*session, aExchange);
   this->Step(ForwardCallerDisconnected{ handle });
@@ -91,6 +90,17 @@
   this->metrics.Observe("request", "", Now() - session->startedAt);
 }
 
+// Ends the request of a caller that has disconnected. The reducer has no effect for it, so the
+// session is resumed here.
+void
+ForwardDaemon::EndSession(std::uint64_t aHandle)
+{
+  this->Step(ForwardCallerDisconnected{ aHandle });
+  if (Session* session = this->FindSession(aHandle)) {
+    session->changed.cancel();
+  }
+}
+
 asio::awaitable<void>
 ForwardDaemon::DeliverResponse(Session& aSession, HttpExchange& aExchange)
 {
--- a/test/ForwardPathTest.cpp
+++ b/test/ForwardPathTest.cpp
@@ -1,6 +1,7 @@
 // End-to-end tests of the platform's published protocol: forwarding entries, and target stand-ins
 // that register themselves in the store stand-in, run as separate processes on loopback. The tests
 // are the callers.
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -57,6 +58,7 @@
   CPPUNIT_TEST(GracefulStopCompletesStreams);
   CPPUNIT_TEST(RequestsThatOutlastTheGraceAreAnswered);
   CPPUNIT_TEST(EndlessStreamToSlowCallerTakesLittleMemory);
+  CPPUNIT_TEST(CallersThatLeaveLeaveNothingBehind);
   CPPUNIT_TEST(PartThatCrashesEnginesIsRefusedByAllEntries);
   CPPUNIT_TEST_SUITE_END();
 
@@ -248,6 +250,57 @@
     CPPUNIT_ASSERT_EQUAL(200, deployment.SendRequest(1, "/book/hall", "r1", 0).status);
   }
 
+  // Guards against sessions that are never resumed after their caller has left: each keeps its
+  // body, its connection and its process.
+  void CallersThatLeaveLeaveNothingBehind()
+  {
+    static constexpr int kRounds = 25;
+    static constexpr std::chrono::milliseconds kGrace{ 3'000 };
+    PlatformDeployment deployment;
+    deployment.SetFaults(deployment.TargetAddress(4), { { "call_ms", 8'000 } });
+    for (int i = 1; i <= 3; ++i) {
+      deployment.SetFaults(deployment.TargetAddress(i), { { "endless", true } });
+    }
+    struct Leaving
+    {
+      const char* path;
+      const char* tokenCounts;
+      bool readsFirst; // The caller leaves after the first bytes of the response.
+    };
+    static constexpr std::array<Leaving, 3> kLeavings{
+      { { "/book/hall", "0,0", false },        // While a whole call runs.
+        { "/draft/round", "5000,200", false }, // Before the first event, or a little later.
+        { "/draft/round", "5000,200", true } } // Within the stream.
+    };
+    asio::io_context context;
+    std::string bytes(4096, '\0');
+    int sent = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      std::vector<tcp::socket> callers;
+      for (const Leaving& leaving : kLeavings) {
+        tcp::socket& caller = callers.emplace_back(context);
+        caller.connect(*ParseEndpoint(deployment.EntryIp(1) + ":7080"));
+        asio::write(caller,
+                    asio::buffer(std::string("POST ") + leaving.path +
+                                 " HTTP/1.1\r\nHost: quiz.example\r\n"
+                                 "Authorization: Bearer key-1\r\nX-Sycamorepost-Request-Id: r" +
+                                 std::to_string(++sent) + "\r\nX-Sycamorepost-Token-Counts: " +
+                                 leaving.tokenCounts + "\r\nContent-Length: 0\r\n\r\n"));
+        if (leaving.readsFirst) {
+          CPPUNIT_ASSERT(caller.read_some(asio::buffer(bytes)) > 0);
+        }
+      }
+    }
+    const std::string admin = deployment.EntryIp(1) + ":7001";
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      const std::string metrics = harness::SendHttpRequest(admin, "GET", "/metrics").body;
+      return metrics.find("caller_sessions 0\n") != std::string::npos &&
+             metrics.find("caller_connections 0\n") != std::string::npos;
+    }));
+    deployment.entries[0].Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, deployment.entries[0].WaitForExit(kGrace).value_or(-1));
+  }
+
   // Guards against crashes that the processes do not notice or do not report to each other.
   void PartThatCrashesEnginesIsRefusedByAllEntries()
   {
