Log on whose word an entry holds each target

Logs gave the number of registered targets only, so they could not tell why an entry used one that had left. Decisions are unchanged.

--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sycamorepost/Types.h"
@@ -33,6 +34,27 @@
   std::optional<RegisteredTarget> target; // Empty when the registration was removed.
 };
 
+// What happens to a target in the directory.
+enum class DirectoryChange : std::uint8_t
+{
+  Added,
+  Changed,
+  Removed, // Its registration ended.
+  Kept,    // Its registration ended, and it stays usable for a while.
+  Renewed, // It was kept and is registered again.
+  Dropped, // It was kept and did not register again in time.
+};
+
+// Returns the name of a change for the log.
+const char*
+NameOf(DirectoryChange aChange);
+
+struct DirectoryEvent
+{
+  std::string instance;
+  DirectoryChange change = DirectoryChange::Added;
+};
+
 // The directory. A registration that lapses while the store is unreachable is kept until the store
 // has been reachable again for a while: its target may be alive and register again.
 class TargetDirectory
@@ -59,14 +81,20 @@
 
   const std::map<std::string, RegisteredTarget>& Targets() const { return this->targets; }
 
+  // Returns what has happened to targets since the last call.
+  std::vector<DirectoryEvent> TakeEvents() { return std::exchange(this->events, {}); }
+
 private:
   bool RemoveOrDefer(const std::string& aInstance, Instant aNow);
+  bool Put(const RegisteredTarget& aTarget);
+  bool Erase(const std::string& aInstance, DirectoryChange aChange);
 
   std::map<std::string, RegisteredTarget> targets;
   std::map<std::string, Instant> lapsedExpiry; // When a lapsed registration is removed.
   bool storeUnreachable = false;
   // When the store was last found unreachable, which is the earliest time of its return.
   Instant lastUnreachableAt;
+  std::vector<DirectoryEvent> events;
 };
 
 } // namespace sycamorepost
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "sycamorepost/forward/TargetDirectory.h"
 
 #include <algorithm>
+#include <array>
 
 namespace sycamorepost {
 
@@ -10,21 +11,53 @@
 // propagation of the record to this process.
 constexpr Duration kReregistrationGrace = std::chrono::milliseconds(2100);
 
+constexpr std::array<const char*, 6> kChangeNames{
+  "registered", "changed", "removed", "kept", "registered again", "dropped",
+};
+
 } // namespace
 
+const char*
+NameOf(DirectoryChange aChange)
+{
+  return kChangeNames.at(static_cast<std::size_t>(aChange));
+}
+
+// Adds a target or replaces what is known of it; returns whether the usable targets changed.
+bool
+TargetDirectory::Put(const RegisteredTarget& aTarget)
+{
+  const bool wasKept = this->lapsedExpiry.erase(aTarget.instance) > 0;
+  const auto [known, isNew] = this->targets.try_emplace(aTarget.instance, aTarget);
+  const bool isChanged = !isNew && known->second != aTarget;
+  if (isNew || isChanged || wasKept) {
+    this->events.push_back({ aTarget.instance,
+                             isNew     ? DirectoryChange::Added
+                             : wasKept ? DirectoryChange::Renewed
+                                       : DirectoryChange::Changed });
+  }
+  known->second = aTarget;
+  return isNew || isChanged;
+}
+
+// Removes a target; returns whether there was one.
+bool
+TargetDirectory::Erase(const std::string& aInstance, DirectoryChange aChange)
+{
+  const bool wasKnown = this->targets.erase(aInstance) > 0;
+  if (wasKnown) {
+    this->events.push_back({ aInstance, aChange });
+  }
+  return wasKnown;
+}
+
 bool
 TargetDirectory::Apply(const RegistrationChange& aChange, Instant aNow)
 {
   if (!aChange.target) {
     return this->RemoveOrDefer(aChange.instance, aNow);
   }
-  this->lapsedExpiry.erase(aChange.instance);
-  const auto found = this->targets.find(aChange.instance);
-  if (found != this->targets.end() && found->second == *aChange.target) {
-    return false;
-  }
-  this->targets[aChange.instance] = *aChange.target;
-  return true;
+  return this->Put(*aChange.target);
 }
 
 bool
@@ -57,14 +90,11 @@
 {
   bool changed = false;
   for (const RegisteredTarget& target : aChanged) {
-    this->lapsedExpiry.erase(target.instance);
-    const auto [known, isNew] = this->targets.try_emplace(target.instance, target);
-    changed = changed || isNew || known->second != target;
-    known->second = target;
+    changed = this->Put(target) || changed;
   }
   for (const std::string& instance : aRemoved) {
     this->lapsedExpiry.erase(instance);
-    changed = this->targets.erase(instance) > 0 || changed;
+    changed = this->Erase(instance, DirectoryChange::Removed) || changed;
   }
   return changed;
 }
@@ -102,9 +132,9 @@
     (this->lastUnreachableAt != Instant() && aNow < this->lastUnreachableAt + kReregistrationGrace);
   // A draining target does not register again.
   if (!afterOutage || found->second.draining) {
-    this->targets.erase(found);
-    return true;
+    return this->Erase(aInstance, DirectoryChange::Removed);
   }
+  this->events.push_back({ aInstance, DirectoryChange::Kept });
   this->lapsedExpiry[aInstance] =
     this->storeUnreachable ? Instant::max() : this->lastUnreachableAt + kReregistrationGrace;
   return false;
@@ -119,7 +149,7 @@
       ++lapsed;
       continue;
     }
-    changed = this->targets.erase(lapsed->first) > 0 || changed;
+    changed = this->Erase(lapsed->first, DirectoryChange::Dropped) || changed;
     lapsed = this->lapsedExpiry.erase(lapsed);
   }
   return changed;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -285,7 +285,7 @@
     this->Step(*domainLoad);
   } else if (const auto* report = std::get_if<StoreReport>(&aEnvelope.message)) {
     if (!this->reducer.Entries().IsNeighbour(aEnvelope.from) ||
-        !this->follower.AcceptReport(*report)) {
+        !this->follower.AcceptReport(*report, aEnvelope.from)) {
       this->metrics.Count("forward_peer_reports_ignored", "store");
     }
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
