Separate the view of registrations from the network, with a failing test

LapsedRegistrationTest plays a failure domain in virtual time: entries lose the store in turn while targets leave, and the whole store is lost while registrations lapse.

--- /dev/null
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -0,0 +1,66 @@
+// What one entry knows of the registered targets, from its own reads of the store and from the
+// reports of its neighbours.
+#ifndef SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
+#define SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sycamorepost/Types.h"
+#include "sycamorepost/forward/StoreSharing.h"
+#include "sycamorepost/forward/TargetDirectory.h"
+
+namespace sycamorepost {
+
+// What a read of the registrations has returned.
+struct RegistrationRead
+{
+  bool isListing = false; // All registrations, instead of the changes since the last read.
+  std::vector<RegistrationChange> changes;
+};
+
+// Combines reads and reports, decides which targets are used, and makes the reports for the
+// neighbours.
+class RegistrationView
+{
+public:
+  // Record that a read of the registrations begins, that it was answered, and that it failed.
+  void RecordReadStarted(Instant aNow);
+  void RecordReadAnswered(Instant aNow);
+  void RecordReadFailed(Instant aNow);
+
+  // Applies what a read has returned; returns whether the set of usable targets changed.
+  bool ApplyRead(const RegistrationRead& aRead, Instant aNow);
+
+  // Returns the report of a read that ended at an offset of the topic.
+  RegistrationReport MakeReport(std::uint64_t aNextOffset, Instant aNow);
+
+  // Applies the report of a neighbour, which was current at aAsOf and continues what is known here;
+  // returns whether the set of usable targets changed.
+  bool Accept(const RegistrationReport& aReport, Instant aAsOf, Instant aNow);
+
+  // Returns whether a neighbour that made a report knows the same registrations.
+  bool Agrees(const RegistrationReport& aReport) const;
+
+  // Drops targets whose grace period has ended; returns whether there was any.
+  bool Expire(Instant aNow);
+
+  // Returns the usable targets by instance.
+  const std::map<std::string, RegisteredTarget>& Targets() const
+  {
+    return this->directory.Targets();
+  }
+
+  // Returns what has happened to targets since the last call.
+  std::vector<DirectoryEvent> TakeEvents() { return this->directory.TakeEvents(); }
+
+private:
+  TargetDirectory directory;
+  RegistrationHistory history;
+};
+
+} // namespace sycamorepost
+
+#endif // SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
--- /dev/null
+++ b/test/LapsedRegistrationTest.cpp
@@ -0,0 +1,367 @@
+// Tests of how the entries of a failure domain tell targets that have left from those whose
+// registrations have lapsed in an outage of the store. Virtual time, no network.
+#include <memory>
+#include <random>
+#include <set>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "sycamorepost/forward/RegistrationView.h"
+#include "sycamorepost/forward/StoreSharing.h"
+
+namespace sycamorepost {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 5 };
+constexpr milliseconds kRoundTrip{ 40 };
+
+// A target renews its registration this often; it lapses after three intervals without renewal.
+constexpr milliseconds kHeartbeat{ 1'200 };
+constexpr milliseconds kLapse = 3 * kHeartbeat;
+
+// A live target whose registration has lapsed registers again within this time of the return of the
+// store, so that long it must stay in use.
+constexpr milliseconds kRegistersAgainWithin{ 2'000 };
+
+// An entry that reached the store all this time knows what the store has acknowledged.
+constexpr milliseconds kStableFor{ 3'000 };
+
+enum class FailureMode : std::uint8_t
+{
+  Refused, // The store answers with an error.
+  Silent,  // It does not respond.
+};
+
+// A span of time in which the store fails the reads of one entry, or of all, and then the
+// registrations of targets, too.
+struct Outage
+{
+  Instant from;
+  Instant until;
+  FailureMode mode = FailureMode::Refused;
+  std::size_t entry = kAllEntries;
+
+  static constexpr std::size_t kAllEntries = 1'000;
+};
+
+// The store's topic of registrations.
+class Topic
+{
+public:
+  void Append(const std::string& aInstance, bool aIsRegistered)
+  {
+    this->records.push_back({ aInstance, aIsRegistered });
+    if (aIsRegistered) {
+      this->registered.insert(aInstance);
+    } else {
+      this->registered.erase(aInstance);
+    }
+  }
+
+  std::uint64_t End() const { return this->records.size(); }
+
+  bool Lists(const std::string& aInstance) const { return this->registered.contains(aInstance); }
+
+  RegistrationRead ReadListing() const
+  {
+    RegistrationRead read{ .isListing = true };
+    for (const std::string& instance : this->registered) {
+      read.changes.push_back({ instance, MakeTarget(instance) });
+    }
+    return read;
+  }
+
+private:
+  static RegisteredTarget MakeTarget(const std::string& aInstance)
+  {
+    return { .instance = aInstance, .service = "model", .address = "10.0.0.9:80" };
+  }
+
+  struct Record
+  {
+    std::string instance;
+    bool isRegistered = false;
+  };
+
+  std::vector<Record> records;
+  std::set<std::string> registered;
+};
+
+// A target that renews its registration while the store accepts it.
+struct Target
+{
+  std::string instance;
+  Instant renewsAt;
+  Instant renewedAt;
+  Instant leavesAt = Instant::max(); // When it removes its registration.
+};
+
+// An entry, with its reads of the store as StoreFollower makes them.
+struct Entry
+{
+  RegistrationView view;
+  ReadSchedule schedule;
+  std::uint64_t nextOffset = 0;
+  Instant retryAt;
+
+  // The read that is under way.
+  bool isReading = false;
+  bool fails = false;
+  Instant readStartedAt;
+  Instant readEndsAt;
+};
+
+// The entries of a failure domain, a store and its targets.
+class Domain
+{
+public:
+  Domain(std::uint64_t aSeed, milliseconds aBound, std::size_t aEntries, std::size_t aTargets)
+    : random(aSeed)
+    , bound(aBound)
+  {
+    for (std::size_t i = 0; i < aEntries; ++i) {
+      auto entry = std::make_unique<Entry>();
+      entry->schedule = ReadSchedule({ .interval = aBound * 45 / 100,
+                                       .heirDelay = aBound * 8 / 100,
+                                       .heirStep = aBound * 3 / 100 });
+      this->entries.push_back(std::move(entry));
+    }
+    for (std::size_t i = 0; i < aTargets; ++i) {
+      Target target{ .instance = "target-" + std::to_string(i) };
+      target.renewedAt = this->now;
+      target.renewsAt = this->now + this->Draw(kHeartbeat);
+      this->topic.Append(target.instance, true);
+      this->targets.push_back(target);
+    }
+    this->Run(std::chrono::seconds(5));
+  }
+
+  Instant Time() const { return this->now; }
+
+  milliseconds Draw(milliseconds aLimit)
+  {
+    return milliseconds(
+      std::uniform_int_distribution<std::int64_t>(0, aLimit.count() - 1)(this->random));
+  }
+
+  void Add(Outage aOutage) { this->outages.push_back(aOutage); }
+
+  void Leave(std::size_t aTarget, Instant aAt) { this->targets[aTarget].leavesAt = aAt; }
+
+  bool Uses(std::size_t aEntry, std::size_t aTarget) const
+  {
+    return this->entries[aEntry]->view.Targets().contains(this->targets[aTarget].instance);
+  }
+
+  // Returns whether the store has served an entry for so long without an outage.
+  bool IsStable(std::size_t aEntry) const
+  {
+    return std::none_of(this->outages.begin(), this->outages.end(), [&](const Outage& aOutage) {
+      const bool concerns = aOutage.entry == aEntry || aOutage.entry == Outage::kAllEntries;
+      return concerns && aOutage.from <= this->now && this->now < aOutage.until + kStableFor;
+    });
+  }
+
+  // Returns how often a registration has lapsed.
+  int Lapses() const { return this->lapses; }
+
+  void Run(
+    milliseconds aDuration,
+    const std::function<void()>& aCheck = [] {})
+  {
+    for (const Instant end = this->now + aDuration; this->now < end; this->now += kTick) {
+      this->RunTargets();
+      for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        this->RunEntry(i);
+      }
+      aCheck();
+    }
+  }
+
+private:
+  const Outage* OutageOf(std::size_t aEntry) const
+  {
+    const auto found =
+      std::find_if(this->outages.begin(), this->outages.end(), [&](const Outage& aOutage) {
+        const bool concerns = aOutage.entry == aEntry || aOutage.entry == Outage::kAllEntries;
+        return concerns && aOutage.from <= this->now && this->now < aOutage.until;
+      });
+    return found == this->outages.end() ? nullptr : &*found;
+  }
+
+  void RunTargets()
+  {
+    const bool storeIsDown = this->OutageOf(Outage::kAllEntries) != nullptr;
+    for (Target& target : this->targets) {
+      const bool isListed = this->topic.Lists(target.instance);
+      const bool hasLeft = target.leavesAt <= this->now;
+      if (isListed && (hasLeft || target.renewedAt + kLapse <= this->now)) {
+        this->lapses += hasLeft ? 0 : 1;
+        this->topic.Append(target.instance, false);
+      }
+      if (hasLeft || target.renewsAt > this->now) {
+        continue;
+      }
+      target.renewsAt = this->now + kHeartbeat;
+      if (!storeIsDown) {
+        target.renewedAt = this->now;
+        if (!this->topic.Lists(target.instance)) {
+          this->topic.Append(target.instance, true);
+        }
+      }
+    }
+  }
+
+  void RunEntry(std::size_t aIndex)
+  {
+    Entry& entry = *this->entries[aIndex];
+    entry.view.Expire(this->now);
+    const Instant dueAt = std::max(entry.schedule.DueAt(aIndex), entry.retryAt);
+    if (!entry.isReading && dueAt <= this->now) {
+      const Outage* outage = this->OutageOf(aIndex);
+      const bool hangs = outage && outage->mode == FailureMode::Silent;
+      entry.isReading = true;
+      entry.fails = outage != nullptr;
+      entry.readStartedAt = this->now;
+      entry.readEndsAt = this->now + (hangs ? milliseconds(1'500) : kRoundTrip);
+      entry.view.RecordReadStarted(this->now);
+    }
+    if (entry.isReading && entry.readEndsAt <= this->now) {
+      this->EndRead(aIndex);
+    }
+  }
+
+  void EndRead(std::size_t aIndex)
+  {
+    Entry& entry = *this->entries[aIndex];
+    entry.isReading = false;
+    if (entry.fails || this->OutageOf(aIndex)) {
+      entry.view.RecordReadFailed(this->now);
+      entry.retryAt = this->now + milliseconds(100) + this->Draw(milliseconds(200));
+      return;
+    }
+    entry.view.RecordReadAnswered(this->now);
+    entry.view.ApplyRead(this->topic.ReadListing(), this->now);
+    entry.nextOffset = this->topic.End();
+    entry.schedule.RecordKnown(entry.readStartedAt);
+    const RegistrationReport report = entry.view.MakeReport(entry.nextOffset, this->now);
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+      if (i != aIndex) {
+        this->Deliver(report, entry.readStartedAt, *this->entries[i]);
+      }
+    }
+  }
+
+  void Deliver(const RegistrationReport& aReport, Instant aAsOf, Entry& aNeighbour)
+  {
+    if (!Continues(aReport, aNeighbour.nextOffset)) {
+      return;
+    }
+    aNeighbour.nextOffset = aReport.nextOffset;
+    aNeighbour.view.Accept(aReport, aAsOf, this->now);
+    if (aNeighbour.view.Agrees(aReport)) {
+      aNeighbour.schedule.RecordKnown(aAsOf);
+    }
+  }
+
+  std::mt19937_64 random;
+  milliseconds bound;
+  Instant now{ std::chrono::hours(1) };
+  Topic topic;
+  std::vector<Target> targets;
+  std::vector<std::unique_ptr<Entry>> entries;
+  std::vector<Outage> outages;
+  int lapses = 0;
+};
+
+class LapsedRegistrationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LapsedRegistrationTest);
+  CPPUNIT_TEST(TargetThatLeftIsNotUsedOnTheWordOfANeighbourThatKeepsIt);
+  CPPUNIT_TEST(TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against an entry that keeps a target after a failed read, and tells its neighbours that
+  // the store lists it: they sent requests there later than the bound after the target had left.
+  void TargetThatLeftIsNotUsedOnTheWordOfANeighbourThatKeepsIt()
+  {
+    ForEachDomain([](std::uint64_t aSeed, milliseconds aBound, std::size_t aEntries) {
+      static constexpr std::size_t kTargets = 8;
+      Domain domain(aSeed, aBound, aEntries, kTargets);
+
+      // Single entries lose the store for a second, in turn, while targets leave.
+      std::vector<Instant> leftAt;
+      for (std::size_t i = 0; i < kTargets; ++i) {
+        const Instant lostAt = domain.Time() + milliseconds(1'500) * static_cast<std::int64_t>(i);
+        domain.Add({ .from = lostAt,
+                     .until = lostAt + std::chrono::seconds(1),
+                     .mode = i % 3 == 2 ? FailureMode::Silent : FailureMode::Refused,
+                     .entry = i % aEntries });
+        leftAt.push_back(lostAt + domain.Draw(milliseconds(1'200)));
+        domain.Leave(i, leftAt.back());
+      }
+      domain.Run(std::chrono::seconds(20), [&] {
+        for (std::size_t entry = 0; entry < aEntries; ++entry) {
+          for (std::size_t target = 0; target < kTargets; ++target) {
+            const bool mustHaveLeft =
+              domain.IsStable(entry) && domain.Time() >= leftAt[target] + aBound;
+            CPPUNIT_ASSERT_MESSAGE(Describe(aSeed, aBound, aEntries),
+                                   !mustHaveLeft || !domain.Uses(entry, target));
+          }
+        }
+      });
+    });
+  }
+
+  // Guards against entries that drop live targets after an outage of the store: those that a
+  // neighbour never missed were not reported as registered again, and were dropped all at once.
+  void TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain()
+  {
+    int lapses = 0;
+    ForEachDomain([&](std::uint64_t aSeed, milliseconds aBound, std::size_t aEntries) {
+      static constexpr std::size_t kTargets = 20;
+      Domain domain(aSeed, aBound, aEntries, kTargets);
+      const Instant lostAt = domain.Time() + domain.Draw(std::chrono::seconds(2));
+      domain.Add({ .from = lostAt,
+                   .until = lostAt + milliseconds(2'000) + domain.Draw(milliseconds(4'000)),
+                   .mode = aSeed % 2 == 0 ? FailureMode::Silent : FailureMode::Refused });
+      domain.Run(std::chrono::seconds(15), [&] {
+        for (std::size_t entry = 0; entry < aEntries; ++entry) {
+          for (std::size_t target = 0; target < kTargets; ++target) {
+            CPPUNIT_ASSERT_MESSAGE(Describe(aSeed, aBound, aEntries), domain.Uses(entry, target));
+          }
+        }
+      });
+      lapses += domain.Lapses();
+    });
+    CPPUNIT_ASSERT(lapses > 1'000);
+  }
+
+private:
+  static void
+  ForEachDomain(const std::function<void(std::uint64_t, milliseconds, std::size_t)>& aRun)
+  {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      for (const milliseconds bound :
+           { milliseconds(2'000), milliseconds(3'000), milliseconds(4'000) }) {
+        for (const std::size_t entries : { 1, 2, 7 }) {
+          aRun(seed, bound, entries);
+        }
+      }
+    }
+  }
+
+  static std::string Describe(std::uint64_t aSeed, milliseconds aBound, std::size_t aEntries)
+  {
+    return "seed " + std::to_string(aSeed) + ", bound " + std::to_string(aBound.count()) + " ms, " +
+           std::to_string(aEntries) + " entries";
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LapsedRegistrationTest);
+
+} // namespace
+} // namespace sycamorepost
