Report to neighbours what the store lists, not what is kept in use

Callers' requests reached targets up to 0.8 s later than the bound after they had left. An entry whose reads of the store had failed keeps a target whose registration has ended, as it may only have lapsed. Reports and digests were made from the targets in use, so a neighbour that had never lost the store took the kept target for a registered one, and held it until the reporter had dropped it and read again. The other way round, a kept target that was registered again was dropped, as the digests agreed.

Reports, their history and the digest are now made from what the store lists. A report also says for how long the store has served its reader. Each entry judges an ended registration by itself: if the store has served it, or the reader, without a failure, the target is left at once; otherwise it is kept until the store has been back long enough. A target that is kept here and registered at the neighbour makes the digests differ, so the entry reads.

--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -37,9 +37,9 @@
   // Returns the report of a read that ended at an offset of the topic.
   RegistrationReport MakeReport(std::uint64_t aNextOffset, Instant aNow);
 
-  // Applies the report of a neighbour, which was current at aAsOf and continues what is known here;
-  // returns whether the set of usable targets changed.
-  bool Accept(const RegistrationReport& aReport, Instant aAsOf, Instant aNow);
+  // Applies the report of a neighbour, which continues what is known here; returns whether the set
+  // of usable targets changed.
+  bool Accept(const RegistrationReport& aReport, Instant aNow);
 
   // Returns whether a neighbour that made a report knows the same registrations.
   bool Agrees(const RegistrationReport& aReport) const;
--- a/include/sycamorepost/forward/StoreSharing.h
+++ b/include/sycamorepost/forward/StoreSharing.h
@@ -58,19 +58,26 @@
 Instant
 ReadAsOf(Instant aStartedAt, Instant aEndedAt, Duration aWait);
 
+// The longest age in a report: no bound on the age of knowledge is as long.
+inline constexpr std::int64_t kMaxReportAgeMs = 60'000;
+
 // Returns when the state of a report was current that is aAgeMs milliseconds old. Returns nothing
 // for a negative age, which means that the report has no such state, and for one of over a minute.
 std::optional<Instant>
 ReportAsOf(std::int64_t aAgeMs, Instant aNow);
 
-// The targets as a reader knows them: the changes since an earlier state of the topic.
+// The targets that the store lists, as a reader has found them: the changes since an earlier state
+// of the topic. Targets that the reader keeps in use without a registration are not listed.
 struct RegistrationReport
 {
   std::uint64_t fromOffset = 0; // The reader knew the records before it when the changes began.
   std::uint64_t nextOffset = 0; // It knows the records before it now.
-  std::uint64_t digest = 0;     // DigestOf() all targets that it knows now.
+  std::uint64_t digest = 0;     // DigestOf() all targets that the store lists.
   std::vector<RegisteredTarget> changed;
   std::vector<std::string> removed; // Instances.
+  // Milliseconds for which the store has served the reader without a failure, a minute at the most;
+  // negative when unknown.
+  std::int64_t servedForMs = -1;
 };
 
 // What a reader tells its neighbours after each read of the store.
@@ -84,12 +91,12 @@
   RegistrationReport registrations;
 };
 
-// The last states of the directory at a reader. A report covers all of them, so that a neighbour
+// The last states of the topic at a reader. A report covers all of them, so that a neighbour
 // that missed one report can still apply the next.
 class RegistrationHistory
 {
 public:
-  // Records the directory after a read that ended at an offset of the topic.
+  // Records the registered targets after a read that ended at an offset of the topic.
   void Record(std::uint64_t aNextOffset, const std::map<std::string, RegisteredTarget>& aTargets);
 
   // Returns the changes since the oldest recorded state.
@@ -105,8 +112,8 @@
   std::deque<State> states; // The oldest one first.
 };
 
-// Returns a digest of a directory. Two entries that have read the same records may still differ:
-// one may keep a target whose registration has lapsed, or have read a listing while it changed.
+// Returns a digest of the registered targets. Two entries that know the topic up to one offset may
+// still differ: one may have read a listing while it changed, or missed a report.
 std::uint64_t
 DigestOf(const std::map<std::string, RegisteredTarget>& aTargets);
 
--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -56,7 +56,9 @@
 };
 
 // The directory. A registration that lapses while the store is unreachable is kept until the store
-// has been reachable again for a while: its target may be alive and register again.
+// has been reachable again for a while: its target may be alive and register again. Only what the
+// store lists is passed on to neighbours; which targets are kept is each entry's own decision, as
+// the store may be unreachable for some entries only.
 class TargetDirectory
 {
 public:
@@ -67,31 +69,49 @@
   // Returns whether the set of usable targets changed.
   bool ApplyListing(const std::vector<RegisteredTarget>& aTargets, Instant aNow);
 
-  // Applies the changes that a neighbour has found in the store; returns whether the set of usable
-  // targets changed.
+  // Applies what a neighbour has found in the store. The store has served it without a failure
+  // since aServedSince, if that is known. Returns whether the set of usable targets changed.
   bool Adopt(const std::vector<RegisteredTarget>& aChanged,
-             const std::vector<std::string>& aRemoved);
+             const std::vector<std::string>& aRemoved,
+             std::optional<Instant> aServedSince,
+             Instant aNow);
 
-  // Record each failed attempt to reach the store, and a successful one.
+  // Record that a read of the registrations begins, each failed attempt to reach the store, and a
+  // successful one.
+  void RecordReadStarted(Instant aNow) { this->readStartedAt = aNow; }
   void RecordStoreUnreachable(Instant aNow);
   void RecordStoreReachable();
 
+  // Records that the store has served a neighbour, which knows the same registrations, without a
+  // failure since an instant.
+  void RecordNeighbourServed(Instant aSince) { this->ShortenGrace(aSince); }
+
+  // Returns since when the store has served this entry without a failure: an instant in the past
+  // when it has never failed, nothing while it fails or does not respond.
+  std::optional<Instant> ServedSince() const;
+
   // Removes lapsed registrations that were not renewed in time; returns whether any was removed.
   bool Expire(Instant aNow);
 
   const std::map<std::string, RegisteredTarget>& Targets() const { return this->targets; }
 
+  // Returns the targets that the store lists, without those that are only kept.
+  std::map<std::string, RegisteredTarget> Registered() const;
+
   // Returns what has happened to targets since the last call.
   std::vector<DirectoryEvent> TakeEvents() { return std::exchange(this->events, {}); }
 
 private:
-  bool RemoveOrDefer(const std::string& aInstance, Instant aNow);
+  bool
+  RemoveOrKeep(const std::string& aInstance, std::optional<Instant> aServedSince, Instant aNow);
+  void ShortenGrace(Instant aServedSince);
   bool Put(const RegisteredTarget& aTarget);
   bool Erase(const std::string& aInstance, DirectoryChange aChange);
 
   std::map<std::string, RegisteredTarget> targets;
   std::map<std::string, Instant> lapsedExpiry; // When a lapsed registration is removed.
   bool storeUnreachable = false;
+  std::optional<Instant> readStartedAt; // The start of the read that has no response yet.
   // When the store was last found unreachable, which is the earliest time of its return.
   Instant lastUnreachableAt;
   std::vector<DirectoryEvent> events;
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -160,7 +160,7 @@
                   slots,
                   draining,
                   startedAtMs)
-SYCAMOREPOST_WIRE(RegistrationReport, fromOffset, nextOffset, digest, changed, removed)
+SYCAMOREPOST_WIRE(RegistrationReport, fromOffset, nextOffset, digest, changed, removed, servedForMs)
 SYCAMOREPOST_WIRE(StoreReport,
                   configurationAgeMs,
                   registrationsAgeMs,
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -1,10 +1,13 @@
 #include "sycamorepost/forward/RegistrationView.h"
 
+#include <algorithm>
+
 namespace sycamorepost {
 
 void
-RegistrationView::RecordReadStarted(Instant /*aNow*/)
+RegistrationView::RecordReadStarted(Instant aNow)
 {
+  this->directory.RecordReadStarted(aNow);
 }
 
 void
@@ -38,25 +41,32 @@
 }
 
 RegistrationReport
-RegistrationView::MakeReport(std::uint64_t aNextOffset, Instant /*aNow*/)
+RegistrationView::MakeReport(std::uint64_t aNextOffset, Instant aNow)
 {
-  this->history.Record(aNextOffset, this->directory.Targets());
-  return this->history.MakeReport();
+  this->history.Record(aNextOffset, this->directory.Registered());
+  RegistrationReport report = this->history.MakeReport();
+  if (const auto since = this->directory.ServedSince()) {
+    report.servedForMs = std::min(ToMillis(aNow - *since), kMaxReportAgeMs);
+  }
+  return report;
 }
 
 bool
-RegistrationView::Accept(const RegistrationReport& aReport, Instant /*aAsOf*/, Instant /*aNow*/)
+RegistrationView::Accept(const RegistrationReport& aReport, Instant aNow)
 {
-  this->directory.RecordStoreReachable();
-  const bool changed = this->directory.Adopt(aReport.changed, aReport.removed);
-  this->history.Record(aReport.nextOffset, this->directory.Targets());
+  const auto servedSince = ReportAsOf(aReport.servedForMs, aNow);
+  const bool changed = this->directory.Adopt(aReport.changed, aReport.removed, servedSince, aNow);
+  this->history.Record(aReport.nextOffset, this->directory.Registered());
+  if (servedSince && this->Agrees(aReport)) {
+    this->directory.RecordNeighbourServed(*servedSince);
+  }
   return changed;
 }
 
 bool
 RegistrationView::Agrees(const RegistrationReport& aReport) const
 {
-  return DigestOf(this->directory.Targets()) == aReport.digest;
+  return DigestOf(this->directory.Registered()) == aReport.digest;
 }
 
 bool
--- a/src/core/forward/StoreSharing.cpp
+++ b/src/core/forward/StoreSharing.cpp
@@ -14,9 +14,6 @@
 // The states that a report covers: it may be the third one that a neighbour gets.
 constexpr std::size_t kMaxStates = 3;
 
-// No bound on the age of knowledge is as long.
-constexpr std::int64_t kMaxReportAgeMs = 60'000;
-
 } // namespace
 
 Instant
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -55,7 +55,7 @@
 TargetDirectory::Apply(const RegistrationChange& aChange, Instant aNow)
 {
   if (!aChange.target) {
-    return this->RemoveOrDefer(aChange.instance, aNow);
+    return this->RemoveOrKeep(aChange.instance, this->ServedSince(), aNow);
   }
   return this->Put(*aChange.target);
 }
@@ -78,23 +78,27 @@
     changed = this->Apply({ target.instance, target }, aNow) || changed;
   }
   for (const std::string& instance : missing) {
-    changed = this->RemoveOrDefer(instance, aNow) || changed;
+    changed = this->RemoveOrKeep(instance, this->ServedSince(), aNow) || changed;
   }
   return changed;
 }
 
-// The neighbour has decided already whether a lapsed registration is kept for a while.
+// A registration cannot have lapsed in an outage of the store that has served one of both entries
+// all the time. When neither was served, the report shows that the store is back.
 bool
 TargetDirectory::Adopt(const std::vector<RegisteredTarget>& aChanged,
-                       const std::vector<std::string>& aRemoved)
+                       const std::vector<std::string>& aRemoved,
+                       std::optional<Instant> aServedSince,
+                       Instant aNow)
 {
   bool changed = false;
   for (const RegisteredTarget& target : aChanged) {
     changed = this->Put(target) || changed;
   }
+  const std::optional<Instant> ownSince = this->ServedSince();
+  const Instant since = std::min(ownSince.value_or(aNow), aServedSince.value_or(aNow));
   for (const std::string& instance : aRemoved) {
-    this->lapsedExpiry.erase(instance);
-    changed = this->Erase(instance, DirectoryChange::Removed) || changed;
+    changed = this->RemoveOrKeep(instance, since, aNow) || changed;
   }
   return changed;
 }
@@ -102,41 +106,64 @@
 void
 TargetDirectory::RecordStoreUnreachable(Instant aNow)
 {
+  this->readStartedAt.reset();
   this->storeUnreachable = true;
   this->lastUnreachableAt = aNow;
 }
 
-// The grace period starts at the earliest possible return of the store, so that a target that
-// deregisters for good just after the return is not kept any longer.
 void
 TargetDirectory::RecordStoreReachable()
 {
-  if (!this->storeUnreachable) {
-    return;
-  }
+  this->readStartedAt.reset();
   this->storeUnreachable = false;
+  this->ShortenGrace(this->lastUnreachableAt);
+}
+
+// The last failure is the earliest time of the store's return: a target that deregisters for good
+// just after the return is not kept any longer.
+std::optional<Instant>
+TargetDirectory::ServedSince() const
+{
+  const bool isServed = !this->storeUnreachable && !this->readStartedAt;
+  return isServed ? std::optional(this->lastUnreachableAt) : std::nullopt;
+}
+
+void
+TargetDirectory::ShortenGrace(Instant aServedSince)
+{
   for (auto& [instance, until] : this->lapsedExpiry) {
-    until = std::min(until, this->lastUnreachableAt + kReregistrationGrace);
+    until = std::min(until, aServedSince + kReregistrationGrace);
+  }
+}
+
+std::map<std::string, RegisteredTarget>
+TargetDirectory::Registered() const
+{
+  std::map<std::string, RegisteredTarget> registered = this->targets;
+  for (const auto& [instance, until] : this->lapsedExpiry) {
+    registered.erase(instance);
   }
+  return registered;
 }
 
+// Removes a target whose registration has ended, or keeps it if the registration may have lapsed in
+// an outage of the store. Returns whether the set of usable targets changed.
 bool
-TargetDirectory::RemoveOrDefer(const std::string& aInstance, Instant aNow)
+TargetDirectory::RemoveOrKeep(const std::string& aInstance,
+                              std::optional<Instant> aServedSince,
+                              Instant aNow)
 {
   const auto found = this->targets.find(aInstance);
   if (found == this->targets.end() || this->lapsedExpiry.contains(aInstance)) {
     return false;
   }
-  const bool afterOutage =
-    this->storeUnreachable ||
-    (this->lastUnreachableAt != Instant() && aNow < this->lastUnreachableAt + kReregistrationGrace);
+  const Instant until = aServedSince ? *aServedSince + kReregistrationGrace : Instant::max();
   // A draining target does not register again.
-  if (!afterOutage || found->second.draining) {
+  if (until <= aNow || found->second.draining) {
     return this->Erase(aInstance, DirectoryChange::Removed);
   }
   this->events.push_back({ aInstance, DirectoryChange::Kept });
-  this->lapsedExpiry[aInstance] =
-    this->storeUnreachable ? Instant::max() : this->lastUnreachableAt + kReregistrationGrace;
+  this->lapsedExpiry[aInstance] = until;
   return false;
 }
 
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -476,7 +476,7 @@
         missed = missed < 1 && *rc::gen::arbitrary<bool>() ? missed + 1 : 0;
         if (missed == 0) {
           RC_ASSERT(Continues(report, neighbourOffset));
-          neighbour.Adopt(report.changed, report.removed);
+          neighbour.Adopt(report.changed, report.removed, now, now);
           neighbourOffset = report.nextOffset;
           RC_ASSERT(neighbour.Targets() == reader.Targets());
           RC_ASSERT(DigestOf(neighbour.Targets()) == report.digest);
@@ -501,7 +501,7 @@
     }
     const RegistrationReport report = history.MakeReport();
     CPPUNIT_ASSERT(Continues(report, 6));
-    neighbour.Adopt(report.changed, report.removed);
+    neighbour.Adopt(report.changed, report.removed, now, now);
     CPPUNIT_ASSERT(!neighbour.Targets().at("engine-1").draining);
     CPPUNIT_ASSERT(DigestOf(neighbour.Targets()) != report.digest);
   }
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -260,7 +260,7 @@
       return;
     }
     aNeighbour.nextOffset = aReport.nextOffset;
-    aNeighbour.view.Accept(aReport, aAsOf, this->now);
+    aNeighbour.view.Accept(aReport, this->now);
     if (aNeighbour.view.Agrees(aReport)) {
       aNeighbour.schedule.RecordKnown(aAsOf);
     }
