Read the store once more before a kept target is dropped

After an outage of the store, live targets were dropped for up to a second though they had registered again: the grace period ended just before the read that would have shown it, as reads are up to 1.8 s apart.

An entry that keeps targets now needs the state of the registrations as of 150 ms before the first of them is dropped, and reads it by itself if no neighbour reports it. The grace period is 2.2 s from the last failed read instead of 2.1 s: that read lies up to 0.3 s before the return.

--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -44,6 +44,10 @@
   // Returns whether a neighbour that made a report knows the same registrations.
   bool Agrees(const RegistrationReport& aReport) const;
 
+  // Returns as of when the state of the topic must be known before the next kept target is dropped:
+  // it may have been registered again. Returns nothing when no target is kept.
+  std::optional<Instant> NextDecisionAt() const;
+
   // Drops targets whose grace period has ended; returns whether there was any.
   bool Expire(Instant aNow);
 
--- a/include/sycamorepost/forward/StoreSharing.h
+++ b/include/sycamorepost/forward/StoreSharing.h
@@ -39,6 +39,9 @@
   // Records that the state of the topic at an instant is known, from the store or a neighbour.
   void RecordKnown(Instant aAsOf) { this->knownAsOf = std::max(this->knownAsOf, aAsOf); }
 
+  // Sets an instant as of which the state must be known, whatever the rank of the entry.
+  void RequireKnown(Instant aAt) { this->requiredAsOf = aAt; }
+
   // Changes the time between two reads of the first entry.
   void SetInterval(Duration aInterval) { this->pacing.interval = aInterval; }
 
@@ -51,6 +54,7 @@
 private:
   ReadPacing pacing;
   Instant knownAsOf;
+  Instant requiredAsOf;
 };
 
 // Returns when the state that a read has returned was current. The store waits up to aWait for a
--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -90,6 +90,9 @@
   // when it has never failed, nothing while it fails or does not respond.
   std::optional<Instant> ServedSince() const;
 
+  // Returns when the next kept target is dropped, if there is one.
+  std::optional<Instant> NextExpiry() const;
+
   // Removes lapsed registrations that were not renewed in time; returns whether any was removed.
   bool Expire(Instant aNow);
 
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -4,6 +4,13 @@
 
 namespace sycamorepost {
 
+namespace {
+
+// For a read of the store that is made before a kept target is dropped.
+constexpr Duration kFinalReadTime = std::chrono::milliseconds(150);
+
+} // namespace
+
 void
 RegistrationView::RecordReadStarted(Instant aNow)
 {
@@ -69,6 +76,13 @@
   return DigestOf(this->directory.Registered()) == aReport.digest;
 }
 
+std::optional<Instant>
+RegistrationView::NextDecisionAt() const
+{
+  const auto expiry = this->directory.NextExpiry();
+  return expiry ? std::optional(*expiry - kFinalReadTime) : std::nullopt;
+}
+
 bool
 RegistrationView::Expire(Instant aNow)
 {
--- a/src/core/forward/StoreSharing.cpp
+++ b/src/core/forward/StoreSharing.cpp
@@ -24,7 +24,7 @@
     due += this->pacing.heirDelay +
            this->pacing.heirStep * static_cast<std::int64_t>(std::min(aRank, kMaxHeirs) - 1);
   }
-  return due;
+  return this->requiredAsOf > this->knownAsOf ? std::min(due, this->requiredAsOf) : due;
 }
 
 Instant
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 // Live targets register again within two seconds of the return of the store; the rest is for the
-// propagation of the record to this process.
-constexpr Duration kReregistrationGrace = std::chrono::milliseconds(2100);
+// time between the last failed read and the return, and for the propagation of the record.
+constexpr Duration kReregistrationGrace = std::chrono::milliseconds(2200);
 
 constexpr std::array<const char*, 6> kChangeNames{
   "registered", "changed", "removed", "kept", "registered again", "dropped",
@@ -167,6 +167,16 @@
   return false;
 }
 
+std::optional<Instant>
+TargetDirectory::NextExpiry() const
+{
+  std::optional<Instant> next;
+  for (const auto& [instance, until] : this->lapsedExpiry) {
+    next = std::min(next.value_or(until), until);
+  }
+  return next;
+}
+
 bool
 TargetDirectory::Expire(Instant aNow)
 {
