Give up a read of the registrations that hangs after 0.7 s

An entry alone in its failure domain used a target up to 0.5 s too late that had left while the store did not respond to it. A read without response was given up after 1.5 s, and all of that counted as an outage, though the store may have been back since the read began; the grace period started at its end.

Reads of the registrations now wait 0.7 s for the start of a response.

--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -14,6 +14,10 @@
 
 namespace sycamorepost {
 
+// How long a read of the registrations waits for the start of the response. What a hung read takes
+// counts as an outage of the store, which may have been back for as long.
+inline constexpr Duration kRegistrationReadTimeout = std::chrono::milliseconds(700);
+
 // What a read of the registrations has returned.
 struct RegistrationRead
 {
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -225,7 +225,7 @@
       entry.isReading = true;
       entry.fails = outage != nullptr;
       entry.readStartedAt = this->now;
-      entry.readEndsAt = this->now + (hangs ? milliseconds(1'500) : kRoundTrip);
+      entry.readEndsAt = this->now + (hangs ? kRegistrationReadTimeout : Duration(kRoundTrip));
       entry.view.RecordReadStarted(this->now);
     }
     if (entry.isReading && entry.readEndsAt <= this->now) {
@@ -290,6 +290,7 @@
   CPPUNIT_TEST_SUITE(LapsedRegistrationTest);
   CPPUNIT_TEST(TargetThatLeftIsNotUsedOnTheWordOfANeighbourThatKeepsIt);
   CPPUNIT_TEST(TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain);
+  CPPUNIT_TEST(TargetThatLeftIsNotKeptForTheTimeThatAReadHung);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -352,6 +353,29 @@
     CPPUNIT_ASSERT(lapses > 1'000);
   }
 
+  // Guards against an entry that counts the time for which a read hung as an outage: the store was
+  // back long before, and a target that had left was used later than the bound.
+  void TargetThatLeftIsNotKeptForTheTimeThatAReadHung()
+  {
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+      static constexpr milliseconds kBound{ 2'000 };
+      Domain domain(seed, kBound, 1, 1);
+      const Instant lostAt = domain.Time() + domain.Draw(milliseconds(900));
+      domain.Add({ .from = lostAt,
+                   .until = lostAt + std::chrono::seconds(1),
+                   .mode = FailureMode::Silent,
+                   .entry = 0 });
+      const Instant leftAt = lostAt + domain.Draw(milliseconds(1'500));
+      domain.Leave(0, leftAt);
+      domain.Run(std::chrono::seconds(8), [&] {
+        const bool mustHaveLeft = domain.IsStable(0) && domain.Time() >= leftAt + kBound;
+        if (mustHaveLeft && domain.Uses(0, 0)) {
+          CPPUNIT_FAIL(Describe(seed, kBound, 1));
+        }
+      });
+    }
+  }
+
 private:
   static void
   ForEachDomain(const std::function<void(std::uint64_t, milliseconds, std::size_t)>& aRun)
