Do not take one failed read of the store for an outage

An entry kept targets that had left for 2.2 s more when a single read of the store failed, for instance because a packet was lost while the connection was opened. With the read itself that can be later than the bound although the store was never lost.

Two reads in a row must fail before a registration that ends counts as one that may have lapsed. After the first failure the entry does not know yet: a target that a neighbour reports as gone is kept until the next read ends.

OneReadThatFailsIsNoOutage failed before and passes now; the other three tests of the suite, with outages of 2 to 6 s, still pass.

--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -66,6 +66,7 @@
 
 private:
   TargetDirectory directory;
+  std::uint32_t failedReads = 0; // Since the last one that was answered.
   RegistrationHistory history;
 };
 
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A single read may fail because a packet was lost while a connection was opened.
+constexpr std::uint32_t kFailedReadsOfAnOutage = 2;
+
 // For a read of the store that is made before a kept target is dropped.
 constexpr Duration kFinalReadTime = std::chrono::milliseconds(150);
 
@@ -20,13 +23,16 @@
 void
 RegistrationView::RecordReadAnswered(Instant /*aNow*/)
 {
+  this->failedReads = 0;
   this->directory.RecordStoreReachable();
 }
 
 void
 RegistrationView::RecordReadFailed(Instant aNow)
 {
-  this->directory.RecordStoreUnreachable(aNow);
+  if (++this->failedReads >= kFailedReadsOfAnOutage) {
+    this->directory.RecordStoreUnreachable(aNow);
+  }
 }
 
 bool
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -291,6 +291,7 @@
   CPPUNIT_TEST(TargetThatLeftIsNotUsedOnTheWordOfANeighbourThatKeepsIt);
   CPPUNIT_TEST(TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain);
   CPPUNIT_TEST(TargetThatLeftIsNotKeptForTheTimeThatAReadHung);
+  CPPUNIT_TEST(OneReadThatFailsIsNoOutage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -376,6 +377,52 @@
     }
   }
 
+  // Guards against an entry that keeps a target which has left, longer than the bound, because a
+  // single packet to the store was lost.
+  void OneReadThatFailsIsNoOutage()
+  {
+    RegistrationView view;
+    Instant now{ std::chrono::hours(1) };
+    const auto read = [&](bool aIsAnswered, const std::vector<std::string>& aListed) {
+      now += std::chrono::milliseconds(100);
+      view.RecordReadStarted(now);
+      now += kRegistrationReadTimeout;
+      if (!aIsAnswered) {
+        view.RecordReadFailed(now);
+        return;
+      }
+      view.RecordReadAnswered(now);
+      RegistrationRead result{ .isListing = true };
+      for (const std::string& instance : aListed) {
+        result.changes.push_back({ instance, RegisteredTarget{ .instance = instance } });
+      }
+      view.ApplyRead(result, now);
+    };
+    read(true, { "target-1", "target-2", "target-3" });
+
+    // The first target has left, and one read got no response.
+    read(false, {});
+    read(true, { "target-2", "target-3" });
+    CPPUNIT_ASSERT(!view.Targets().contains("target-1"));
+
+    // A neighbour tells, before this entry has read again after a failure, that the second one is
+    // gone. Whether the store was lost is not known yet.
+    read(false, {});
+    RegistrationReport report;
+    report.removed = { "target-2" };
+    view.Accept(report, now);
+    CPPUNIT_ASSERT(view.Targets().contains("target-2"));
+    read(true, { "target-3" });
+    view.Expire(now);
+    CPPUNIT_ASSERT(!view.Targets().contains("target-2"));
+
+    // Two reads in a row got no response: the registration may have lapsed meanwhile.
+    read(false, {});
+    read(false, {});
+    read(true, {});
+    CPPUNIT_ASSERT(view.Targets().contains("target-3"));
+  }
+
 private:
   static void
   ForEachDomain(const std::function<void(std::uint64_t, milliseconds, std::size_t)>& aRun)
