End quarantines that entries tell each other in time

Entries kept parts of prompts quarantined for ever that nobody asked for any more. A quarantine that is overdue for a trial was reported as due now; the receiver dated it at the present, and reported it back before either had dropped it.

A report now says how long ago the trial was allowed, and what is out of date is not taken over.

--- a/include/sycamorepost/forward/PartQuarantine.h
+++ b/include/sycamorepost/forward/PartQuarantine.h
@@ -19,8 +19,10 @@
 struct QuarantinedParts
 {
   PartSet parts;
-  std::uint32_t trials = 0;   // Trial requests so far.
-  std::int64_t trialInMs = 0; // Time until the next trial is allowed.
+  std::uint32_t trials = 0; // Trial requests so far.
+  // Milliseconds until the next trial is allowed; negative since it has been, so that what entries
+  // tell each other ends in time.
+  std::int64_t trialInMs = 0;
 };
 
 // An entry's report of a crash: the parts of each prompt that ran there and whose response had not
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -553,9 +553,10 @@
     dump["retry_budget"][service] = budget.Level();
   }
   for (const QuarantinedParts& quarantined : this->quarantine.Snapshot(aNow)) {
-    dump["quarantined"].push_back({ { "parts", FormatParts(quarantined.parts) },
-                                    { "trials", quarantined.trials },
-                                    { "trial_in_ms", quarantined.trialInMs } });
+    dump["quarantined"].push_back(
+      { { "parts", FormatParts(quarantined.parts) },
+        { "trials", quarantined.trials },
+        { "trial_in_ms", std::max<std::int64_t>(0, quarantined.trialInMs) } });
   }
   dump["crashes_not_explained"] = this->quarantine.CrashCount();
   return dump;
--- a/src/core/forward/PartQuarantine.cpp
+++ b/src/core/forward/PartQuarantine.cpp
@@ -370,11 +370,12 @@
       }
       return isCleared;
     });
-    if (parts.empty() || parts.size() > kMaxPromptParts) {
+    const bool isOutOfDate = reported.trialInMs <= -ToMillis(kCrashTtl);
+    if (parts.empty() || parts.size() > kMaxPromptParts || isOutOfDate) {
       continue;
     }
-    const auto trialInMs =
-      std::clamp<std::int64_t>(reported.trialInMs, 0, ToMillis(kMaxTrialInterval));
+    const auto trialInMs = std::clamp<std::int64_t>(
+      reported.trialInMs, -ToMillis(kCrashTtl), ToMillis(kMaxTrialInterval));
     const Instant nextTrialAt = aNow + std::chrono::milliseconds(trialInMs);
     const auto known =
       std::find_if(this->quarantined.begin(),
@@ -395,8 +396,7 @@
 {
   std::vector<QuarantinedParts> all;
   for (const Quarantined& known : this->quarantined) {
-    all.push_back(
-      { known.parts, known.trials, std::max<std::int64_t>(0, ToMillis(known.nextTrialAt - aNow)) });
+    all.push_back({ known.parts, known.trials, ToMillis(known.nextTrialAt - aNow) });
   }
   return all;
 }
--- a/test/CrashingPartTest.cpp
+++ b/test/CrashingPartTest.cpp
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(PartsThatCannotBeToldApartAreQuarantinedTogether);
   CPPUNIT_TEST(TrialsBecomeRare);
   CPPUNIT_TEST(ClearedPartIsNotQuarantinedByAnOldReport);
+  CPPUNIT_TEST(QuarantineThatIsPassedOnEndsInTime);
   CPPUNIT_TEST(CrashesOfOneInstanceAreToldApart);
   CPPUNIT_TEST(StateIsBounded);
   CPPUNIT_TEST(PartWithProgressIsNeverQuarantined);
@@ -354,6 +355,39 @@
     CPPUNIT_ASSERT(story.IsQuarantined({ 7 }));
   }
 
+  // Guards against entries that renew each other's quarantine of a part for ever: what one had
+  // heard of the other counted as news of the present.
+  void QuarantineThatIsPassedOnEndsInTime()
+  {
+    Story first;
+    for (int i = 0; i < 3; ++i) {
+      first.Crash({ { 7 } });
+    }
+    Instant now = first.now;
+    PartQuarantine second;
+    second.Merge(first.quarantine.Snapshot(now), now);
+    CPPUNIT_ASSERT(second.HasQuarantined());
+
+    // The entries share what they know each second, with some delay, and nobody asks for the part.
+    static constexpr milliseconds kDelay(20);
+    const Instant end = now + minutes(12);
+    while (now < end) {
+      const auto toSecond = first.quarantine.Snapshot(now);
+      const auto toFirst = second.Snapshot(now);
+      now += kDelay;
+      second.Merge(toSecond, now);
+      first.quarantine.Merge(toFirst, now);
+      now += seconds(1);
+      first.quarantine.Expire(now);
+      second.Expire(now);
+      // The time to the first trial has passed, and trials are allowed.
+      const bool isEarly = now < first.now + minutes(1);
+      CPPUNIT_ASSERT(isEarly || second.Decide({ 7 }, now).verdict != PartVerdict::Refused);
+    }
+    CPPUNIT_ASSERT(!first.quarantine.HasQuarantined());
+    CPPUNIT_ASSERT(!second.HasQuarantined());
+  }
+
   // Guards against crashes that do not count because the target starts again under its name and
   // crashes before its registration has changed, and against late reports that count twice.
   void CrashesOfOneInstanceAreToldApart()
