--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -21,10 +21,6 @@
 constexpr milliseconds kHeartbeat{ 1'200 };
 constexpr milliseconds kLapse = 3 * kHeartbeat;
 
-// A live target whose registration has lapsed registers again within this time of the return of the
-// store, so that long it must stay in use.
-constexpr milliseconds kRegistersAgainWithin{ 2'000 };
-
 // An entry that reached the store all this time knows what the store has acknowledged.
 constexpr milliseconds kStableFor{ 3'000 };
 
