--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -32,7 +32,7 @@
 {
 public:
   // Record that a read of the registrations begins, that it was answered, and that it failed.
-  void RecordReadStarted(Instant aNow);
+  void RecordReadStarted();
   void RecordReadAnswered();
   void RecordReadFailed(Instant aNow);
 
--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -49,6 +49,7 @@
 const char*
 NameOf(DirectoryChange aChange);
 
+// One change of one target.
 struct DirectoryEvent
 {
   std::string instance;
@@ -78,7 +79,7 @@
 
   // Record that a read of the registrations begins, each failed attempt to reach the store, and a
   // successful one.
-  void RecordReadStarted(Instant aNow) { this->readStartedAt = aNow; }
+  void RecordReadStarted() { this->isAwaitingStore = true; }
   void RecordStoreUnreachable(Instant aNow);
   void RecordStoreReachable();
 
@@ -114,7 +115,7 @@
   std::map<std::string, RegisteredTarget> targets;
   std::map<std::string, Instant> lapsedExpiry; // When a lapsed registration is removed.
   bool storeUnreachable = false;
-  std::optional<Instant> readStartedAt; // The start of the read that has no response yet.
+  bool isAwaitingStore = false; // A read has no response yet.
   // When the store was last found unreachable, which is the earliest time of its return.
   Instant lastUnreachableAt;
   std::vector<DirectoryEvent> events;
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 void
-RegistrationView::RecordReadStarted(Instant aNow)
+RegistrationView::RecordReadStarted()
 {
-  this->directory.RecordReadStarted(aNow);
+  this->directory.RecordReadStarted();
 }
 
 void
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -106,7 +106,7 @@
 void
 TargetDirectory::RecordStoreUnreachable(Instant aNow)
 {
-  this->readStartedAt.reset();
+  this->isAwaitingStore = false;
   this->storeUnreachable = true;
   this->lastUnreachableAt = aNow;
 }
@@ -114,7 +114,7 @@
 void
 TargetDirectory::RecordStoreReachable()
 {
-  this->readStartedAt.reset();
+  this->isAwaitingStore = false;
   this->storeUnreachable = false;
   this->ShortenGrace(this->lastUnreachableAt);
 }
@@ -124,7 +124,7 @@
 std::optional<Instant>
 TargetDirectory::ServedSince() const
 {
-  const bool isServed = !this->storeUnreachable && !this->readStartedAt;
+  const bool isServed = !this->storeUnreachable && !this->isAwaitingStore;
   return isServed ? std::optional(this->lastUnreachableAt) : std::nullopt;
 }
 
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -220,7 +220,7 @@
       entry.fails = outage != nullptr;
       entry.readStartedAt = this->now;
       entry.readEndsAt = this->now + (hangs ? kRegistrationReadTimeout : Duration(kRoundTrip));
-      entry.view.RecordReadStarted(this->now);
+      entry.view.RecordReadStarted();
     }
     if (entry.isReading && entry.readEndsAt <= this->now) {
       this->EndRead(aIndex);
@@ -388,7 +388,7 @@
     Instant now{ std::chrono::hours(1) };
     const auto read = [&](bool aIsAnswered, const std::vector<std::string>& aListed) {
       now += std::chrono::milliseconds(100);
-      view.RecordReadStarted(now);
+      view.RecordReadStarted();
       now += kRegistrationReadTimeout;
       if (!aIsAnswered) {
         view.RecordReadFailed(now);
