Hold the registered targets beside those in use

Each report of a neighbour copied the registered targets three times and computed their digest twice, instead of once each: derived them from the targets in use whenever they were needed.

--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/TargetDirectory.h
@@ -100,7 +100,7 @@
   const std::map<std::string, RegisteredTarget>& Targets() const { return this->targets; }
 
   // Returns the targets that the store lists, without those that are only kept.
-  std::map<std::string, RegisteredTarget> Registered() const;
+  const std::map<std::string, RegisteredTarget>& Registered() const { return this->registered; }
 
   // Returns what has happened to targets since the last call.
   std::vector<DirectoryEvent> TakeEvents() { return std::exchange(this->events, {}); }
@@ -112,8 +112,9 @@
   bool Put(const RegisteredTarget& aTarget);
   bool Erase(const std::string& aInstance, DirectoryChange aChange);
 
-  std::map<std::string, RegisteredTarget> targets;
-  std::map<std::string, Instant> lapsedExpiry; // When a lapsed registration is removed.
+  std::map<std::string, RegisteredTarget> targets;    // Those that are registered or kept.
+  std::map<std::string, RegisteredTarget> registered; // Those that the store lists.
+  std::map<std::string, Instant> lapsedExpiry;        // When a kept target is dropped.
   bool storeUnreachable = false;
   bool isAwaitingStore = false; // A read has no response yet.
   // When the store was last found unreachable, which is the earliest time of its return.
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -70,7 +70,7 @@
   const auto servedSince = ReportAsOf(aReport.servedForMs, aNow);
   const bool changed = this->directory.Adopt(aReport.changed, aReport.removed, servedSince, aNow);
   this->history.Record(aReport.nextOffset, this->directory.Registered());
-  if (servedSince && this->Agrees(aReport)) {
+  if (servedSince && this->directory.NextExpiry() && this->Agrees(aReport)) {
     this->directory.RecordNeighbourServed(*servedSince);
   }
   return changed;
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/TargetDirectory.cpp
@@ -37,6 +37,7 @@
                                        : DirectoryChange::Changed });
   }
   known->second = aTarget;
+  this->registered[aTarget.instance] = aTarget;
   return isNew || isChanged;
 }
 
@@ -136,16 +137,6 @@
   }
 }
 
-std::map<std::string, RegisteredTarget>
-TargetDirectory::Registered() const
-{
-  std::map<std::string, RegisteredTarget> registered = this->targets;
-  for (const auto& [instance, until] : this->lapsedExpiry) {
-    registered.erase(instance);
-  }
-  return registered;
-}
-
 // Removes a target whose registration has ended, or keeps it if the registration may have lapsed in
 // an outage of the store. Returns whether the set of usable targets changed.
 bool
@@ -157,6 +148,7 @@
   if (found == this->targets.end() || this->lapsedExpiry.contains(aInstance)) {
     return false;
   }
+  this->registered.erase(aInstance);
   const Instant until = aServedSince ? *aServedSince + kReregistrationGrace : Instant::max();
   // A draining target does not register again.
   if (until <= aNow || found->second.draining) {
