Take a silent store for an outage after one read, a lost connection after two

With a bound of 4 s reads are so far apart that an outage of 2.5 s can meet only one.

Only a connection that fails needs a second one.

The test now has the delay of timers and the intervals at which kept targets are dropped. OneReadThatFailsIsNoOutage became OneConnectionThatFailsIsNoOutage: it demands the same for connections, and that one silent read counts.

--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/RegistrationView.h
@@ -19,6 +19,14 @@
 // counts as an outage of the store, which may have been back for as long.
 inline constexpr Duration kRegistrationReadTimeout = std::chrono::milliseconds(700);
 
+// How a read of the registrations has ended.
+enum class ReadOutcome : std::uint8_t
+{
+  Served,
+  NotServed,    // The store has refused it, or did not respond in time.
+  NotConnected, // No connection was established; a packet may have been lost.
+};
+
 // What a read of the registrations has returned.
 struct RegistrationRead
 {
@@ -31,10 +39,9 @@
 class RegistrationView
 {
 public:
-  // Record that a read of the registrations begins, that it was answered, and that it failed.
+  // Record that a read of the registrations begins, and how it has ended.
   void RecordReadStarted();
-  void RecordReadAnswered();
-  void RecordReadFailed(Instant aNow);
+  void RecordReadEnd(ReadOutcome aOutcome, Instant aNow);
 
   // Applies what a read has returned; returns whether the set of usable targets changed.
   bool ApplyRead(const RegistrationRead& aRead, Instant aNow);
@@ -67,7 +74,7 @@
 
 private:
   TargetDirectory directory;
-  std::uint32_t failedReads = 0; // Since the last one that was answered.
+  std::uint32_t failedConnections = 0; // In a row.
   RegistrationHistory history;
 };
 
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/RegistrationView.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// A single read may fail because a packet was lost while a connection was opened.
-constexpr std::uint32_t kFailedReadsOfAnOutage = 2;
+// One connection may fail because a packet was lost.
+constexpr std::uint32_t kFailedConnectionsOfAnOutage = 2;
 
 // For a read of the store that is made before a kept target is dropped.
 constexpr Duration kFinalReadTime = std::chrono::milliseconds(150);
@@ -21,16 +21,16 @@
 }
 
 void
-RegistrationView::RecordReadAnswered()
+RegistrationView::RecordReadEnd(ReadOutcome aOutcome, Instant aNow)
 {
-  this->failedReads = 0;
-  this->directory.RecordStoreReachable();
-}
-
-void
-RegistrationView::RecordReadFailed(Instant aNow)
-{
-  if (++this->failedReads >= kFailedReadsOfAnOutage) {
+  if (aOutcome == ReadOutcome::Served) {
+    this->failedConnections = 0;
+    this->directory.RecordStoreReachable();
+    return;
+  }
+  const bool isConnected = aOutcome != ReadOutcome::NotConnected;
+  this->failedConnections = isConnected ? 0 : this->failedConnections + 1;
+  if (isConnected || this->failedConnections >= kFailedConnectionsOfAnOutage) {
     this->directory.RecordStoreUnreachable(aNow);
   }
 }
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds kTick{ 10 };
 constexpr milliseconds kRoundTrip{ 40 };
 
+// A read that hangs ends this much after its timeout, and kept targets are dropped at these
+// intervals.
+constexpr milliseconds kTimerDelay{ 30 };
+constexpr milliseconds kExpireInterval{ 100 };
+
 // A target renews its registration this often; it lapses after three intervals without renewal.
 constexpr milliseconds kHeartbeat{ 1'200 };
 constexpr milliseconds kLapse = 3 * kHeartbeat;
@@ -99,6 +104,7 @@
   ReadSchedule schedule;
   std::uint64_t nextOffset = 0;
   Instant retryAt;
+  Instant expireAt;
 
   // The read that is under way.
   bool isReading = false;
@@ -113,10 +119,10 @@
 public:
   Domain(std::uint64_t aSeed, milliseconds aBound, std::size_t aEntries, std::size_t aTargets)
     : random(aSeed)
-    , bound(aBound)
   {
     for (std::size_t i = 0; i < aEntries; ++i) {
       auto entry = std::make_unique<Entry>();
+      entry->expireAt = this->now + this->Draw(kExpireInterval);
       entry->schedule = ReadSchedule({ .interval = aBound * 45 / 100,
                                        .heirDelay = aBound * 8 / 100,
                                        .heirStep = aBound * 3 / 100 });
@@ -211,7 +217,10 @@
   void RunEntry(std::size_t aIndex)
   {
     Entry& entry = *this->entries[aIndex];
-    entry.view.Expire(this->now);
+    if (entry.expireAt <= this->now) {
+      entry.expireAt = this->now + kExpireInterval;
+      entry.view.Expire(this->now);
+    }
     const Instant dueAt = std::max(entry.schedule.DueAt(aIndex), entry.retryAt);
     if (!entry.isReading && dueAt <= this->now) {
       const Outage* outage = this->OutageOf(aIndex);
@@ -219,7 +228,8 @@
       entry.isReading = true;
       entry.fails = outage != nullptr;
       entry.readStartedAt = this->now;
-      entry.readEndsAt = this->now + (hangs ? kRegistrationReadTimeout : Duration(kRoundTrip));
+      entry.readEndsAt =
+        this->now + (hangs ? kRegistrationReadTimeout + kTimerDelay : Duration(kRoundTrip));
       entry.view.RecordReadStarted();
     }
     if (entry.isReading && entry.readEndsAt <= this->now) {
@@ -232,11 +242,11 @@
     Entry& entry = *this->entries[aIndex];
     entry.isReading = false;
     if (entry.fails || this->OutageOf(aIndex)) {
-      entry.view.RecordReadFailed(this->now);
+      entry.view.RecordReadEnd(ReadOutcome::NotServed, this->now);
       entry.retryAt = this->now + milliseconds(100) + this->Draw(milliseconds(200));
       return;
     }
-    entry.view.RecordReadAnswered();
+    entry.view.RecordReadEnd(ReadOutcome::Served, this->now);
     entry.view.ApplyRead(this->topic.ReadListing(), this->now);
     entry.nextOffset = this->topic.End();
     entry.schedule.RecordKnown(entry.readStartedAt);
@@ -270,7 +280,6 @@
   }
 
   std::mt19937_64 random;
-  milliseconds bound;
   Instant now{ std::chrono::hours(1) };
   Topic topic;
   std::vector<Target> targets;
@@ -285,7 +294,7 @@
   CPPUNIT_TEST(TargetThatLeftIsNotUsedOnTheWordOfANeighbourThatKeepsIt);
   CPPUNIT_TEST(TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain);
   CPPUNIT_TEST(TargetThatLeftIsNotKeptForTheTimeThatAReadHung);
-  CPPUNIT_TEST(OneReadThatFailsIsNoOutage);
+  CPPUNIT_TEST(OneConnectionThatFailsIsNoOutage);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -380,50 +389,58 @@
     }
   }
 
-  // Guards against an entry that keeps a target which has left, longer than the bound, because a
-  // single packet to the store was lost.
-  void OneReadThatFailsIsNoOutage()
+  // Guards against an entry that keeps a target which has left, longer than the bound, because one
+  // packet to the store was lost, and against one that takes a silent store for such a packet.
+  void OneConnectionThatFailsIsNoOutage()
   {
     RegistrationView view;
     Instant now{ std::chrono::hours(1) };
-    const auto read = [&](bool aIsAnswered, const std::vector<std::string>& aListed) {
+    const auto read = [&](ReadOutcome aOutcome, const std::vector<std::string>& aListed) {
       now += std::chrono::milliseconds(100);
       view.RecordReadStarted();
       now += kRegistrationReadTimeout;
-      if (!aIsAnswered) {
-        view.RecordReadFailed(now);
+      view.RecordReadEnd(aOutcome, now);
+      if (aOutcome != ReadOutcome::Served) {
         return;
       }
-      view.RecordReadAnswered();
       RegistrationRead result{ .isListing = true };
       for (const std::string& instance : aListed) {
         result.changes.push_back({ instance, RegisteredTarget{ .instance = instance } });
       }
       view.ApplyRead(result, now);
+      view.Expire(now);
     };
-    read(true, { "target-1", "target-2", "target-3" });
+    const auto uses = [&](const char* aInstance) { return view.Targets().contains(aInstance); };
+    read(ReadOutcome::Served, { "target-1", "target-2", "target-3", "target-4" });
 
-    // The first target has left, and one read got no response.
-    read(false, {});
-    read(true, { "target-2", "target-3" });
-    CPPUNIT_ASSERT(!view.Targets().contains("target-1"));
+    // The first target has left, and one connection failed.
+    read(ReadOutcome::NotConnected, {});
+    read(ReadOutcome::Served, { "target-2", "target-3", "target-4" });
+    CPPUNIT_ASSERT(!uses("target-1"));
 
     // A neighbour tells, before this entry has read again after a failure, that the second one is
     // gone. Whether the store was lost is not known yet.
-    read(false, {});
+    read(ReadOutcome::NotConnected, {});
     RegistrationReport report;
     report.removed = { "target-2" };
     view.Accept(report, now);
-    CPPUNIT_ASSERT(view.Targets().contains("target-2"));
-    read(true, { "target-3" });
-    view.Expire(now);
-    CPPUNIT_ASSERT(!view.Targets().contains("target-2"));
-
-    // Two reads in a row got no response: the registration may have lapsed meanwhile.
-    read(false, {});
-    read(false, {});
-    read(true, {});
-    CPPUNIT_ASSERT(view.Targets().contains("target-3"));
+    CPPUNIT_ASSERT(uses("target-2"));
+    read(ReadOutcome::Served, { "target-3", "target-4" });
+    CPPUNIT_ASSERT(!uses("target-2"));
+
+    // Two connections in a row failed: the registration may have lapsed meanwhile.
+    read(ReadOutcome::NotConnected, {});
+    read(ReadOutcome::NotConnected, {});
+    read(ReadOutcome::Served, { "target-4" });
+    CPPUNIT_ASSERT(uses("target-3"));
+
+    // Much later, the store took one connection and did not respond.
+    now += std::chrono::seconds(10);
+    read(ReadOutcome::Served, { "target-4" });
+    CPPUNIT_ASSERT(!uses("target-3"));
+    read(ReadOutcome::NotServed, {});
+    read(ReadOutcome::Served, {});
+    CPPUNIT_ASSERT(uses("target-4"));
   }
 
 private:
