Give src/core/forward folders by what they decide

The folder held 22 files of every kind. They now lie in targets/, load/, admission/, placement/, request/ and sharing/, and so do their public headers. Moves and include paths only; no other change.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -13,9 +13,9 @@
 
 #include "sycamorepost/Hash.h"
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/PartQuarantine.h"
-#include "sycamorepost/forward/StoreSharing.h"
-#include "sycamorepost/forward/TargetLoadReport.h"
+#include "sycamorepost/forward/load/TargetLoadReport.h"
+#include "sycamorepost/forward/sharing/StoreSharing.h"
+#include "sycamorepost/forward/targets/PartQuarantine.h"
 
 namespace sycamorepost {
 
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -14,12 +14,12 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "sycamorepost/Effects.h"
-#include "sycamorepost/forward/EntryGroup.h"
-#include "sycamorepost/forward/LoadTracker.h"
-#include "sycamorepost/forward/PartQuarantine.h"
-#include "sycamorepost/forward/RouteTable.h"
-#include "sycamorepost/forward/TargetDirectory.h"
-#include "sycamorepost/forward/TargetNotices.h"
+#include "sycamorepost/forward/admission/RouteTable.h"
+#include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/sharing/EntryGroup.h"
+#include "sycamorepost/forward/targets/PartQuarantine.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
+#include "sycamorepost/forward/targets/TargetNotices.h"
 
 namespace sycamorepost {
 
--- a/include/sycamorepost/forward/RetryBudget.h
+++ b/include/sycamorepost/forward/admission/RetryBudget.h
@@ -1,6 +1,6 @@
 // One entry's share of the retries that all entries together may make for a service.
-#ifndef SYCAMOREPOST_FORWARD_RETRY_BUDGET_H_
-#define SYCAMOREPOST_FORWARD_RETRY_BUDGET_H_
+#ifndef SYCAMOREPOST_FORWARD_ADMISSION_RETRY_BUDGET_H_
+#define SYCAMOREPOST_FORWARD_ADMISSION_RETRY_BUDGET_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -51,4 +51,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_RETRY_BUDGET_H_
+#endif // SYCAMOREPOST_FORWARD_ADMISSION_RETRY_BUDGET_H_
--- a/include/sycamorepost/forward/RouteTable.h
+++ b/include/sycamorepost/forward/admission/RouteTable.h
@@ -1,6 +1,6 @@
 // The routes, services, limits and callers' keys that are in force, as one immutable table.
-#ifndef SYCAMOREPOST_FORWARD_ROUTE_TABLE_H_
-#define SYCAMOREPOST_FORWARD_ROUTE_TABLE_H_
+#ifndef SYCAMOREPOST_FORWARD_ADMISSION_ROUTE_TABLE_H_
+#define SYCAMOREPOST_FORWARD_ADMISSION_ROUTE_TABLE_H_
 
 #include <array>
 #include <cstdint>
@@ -142,4 +142,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_ROUTE_TABLE_H_
+#endif // SYCAMOREPOST_FORWARD_ADMISSION_ROUTE_TABLE_H_
--- a/include/sycamorepost/forward/EngineEstimate.h
+++ b/include/sycamorepost/forward/load/EngineEstimate.h
@@ -1,8 +1,8 @@
 // Estimates of the time that a model engine needs, computed from its published cost figures.
-#ifndef SYCAMOREPOST_FORWARD_ENGINE_ESTIMATE_H_
-#define SYCAMOREPOST_FORWARD_ENGINE_ESTIMATE_H_
+#ifndef SYCAMOREPOST_FORWARD_LOAD_ENGINE_ESTIMATE_H_
+#define SYCAMOREPOST_FORWARD_LOAD_ENGINE_ESTIMATE_H_
 
-#include "sycamorepost/forward/RouteTable.h"
+#include "sycamorepost/forward/admission/RouteTable.h"
 
 namespace sycamorepost {
 
@@ -17,4 +17,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_ENGINE_ESTIMATE_H_
+#endif // SYCAMOREPOST_FORWARD_LOAD_ENGINE_ESTIMATE_H_
--- a/include/sycamorepost/forward/LoadTracker.h
+++ b/include/sycamorepost/forward/load/LoadTracker.h
@@ -1,7 +1,7 @@
 // The load of every target: the work that this entry placed there, the work that the other entries
 // report, and the results of recent exchanges.
-#ifndef SYCAMOREPOST_FORWARD_LOAD_TRACKER_H_
-#define SYCAMOREPOST_FORWARD_LOAD_TRACKER_H_
+#ifndef SYCAMOREPOST_FORWARD_LOAD_LOAD_TRACKER_H_
+#define SYCAMOREPOST_FORWARD_LOAD_LOAD_TRACKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/TargetLoadReport.h"
+#include "sycamorepost/forward/load/TargetLoadReport.h"
 
 namespace sycamorepost {
 
@@ -120,4 +120,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_LOAD_TRACKER_H_
+#endif // SYCAMOREPOST_FORWARD_LOAD_LOAD_TRACKER_H_
--- a/include/sycamorepost/forward/RateMeter.h
+++ b/include/sycamorepost/forward/load/RateMeter.h
@@ -1,6 +1,6 @@
 // The rate of events over about the last second.
-#ifndef SYCAMOREPOST_FORWARD_RATE_METER_H_
-#define SYCAMOREPOST_FORWARD_RATE_METER_H_
+#ifndef SYCAMOREPOST_FORWARD_LOAD_RATE_METER_H_
+#define SYCAMOREPOST_FORWARD_LOAD_RATE_METER_H_
 
 #include <algorithm>
 #include <chrono>
@@ -35,4 +35,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_RATE_METER_H_
+#endif // SYCAMOREPOST_FORWARD_LOAD_RATE_METER_H_
--- a/include/sycamorepost/forward/TargetLoadReport.h
+++ b/include/sycamorepost/forward/load/TargetLoadReport.h
@@ -1,6 +1,6 @@
 // The load of one entry on one target, as reported to the peers.
-#ifndef SYCAMOREPOST_FORWARD_TARGET_LOAD_REPORT_H_
-#define SYCAMOREPOST_FORWARD_TARGET_LOAD_REPORT_H_
+#ifndef SYCAMOREPOST_FORWARD_LOAD_TARGET_LOAD_REPORT_H_
+#define SYCAMOREPOST_FORWARD_LOAD_TARGET_LOAD_REPORT_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_TARGET_LOAD_REPORT_H_
+#endif // SYCAMOREPOST_FORWARD_LOAD_TARGET_LOAD_REPORT_H_
--- a/include/sycamorepost/forward/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -1,7 +1,7 @@
 // The choice of where a request runs: one target for a plain call, and for a prompt the engine that
 // decodes, the helpers that prefill parts of it, and the memory to reserve on them.
-#ifndef SYCAMOREPOST_FORWARD_PLACEMENT_H_
-#define SYCAMOREPOST_FORWARD_PLACEMENT_H_
+#ifndef SYCAMOREPOST_FORWARD_PLACEMENT_PLACEMENT_H_
+#define SYCAMOREPOST_FORWARD_PLACEMENT_PLACEMENT_H_
 
 #include <cstdint>
 #include <map>
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "sycamorepost/forward/LoadTracker.h"
-#include "sycamorepost/forward/RouteTable.h"
-#include "sycamorepost/forward/TargetDirectory.h"
-#include "sycamorepost/forward/TargetNotices.h"
+#include "sycamorepost/forward/admission/RouteTable.h"
+#include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
+#include "sycamorepost/forward/targets/TargetNotices.h"
 
 namespace sycamorepost {
 
@@ -77,4 +77,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_PLACEMENT_H_
+#endif // SYCAMOREPOST_FORWARD_PLACEMENT_PLACEMENT_H_
--- a/include/sycamorepost/forward/EventStream.h
+++ b/include/sycamorepost/forward/request/EventStream.h
@@ -1,6 +1,6 @@
 // A parser that splits a server-sent event stream into complete events and their ids.
-#ifndef SYCAMOREPOST_FORWARD_EVENT_STREAM_H_
-#define SYCAMOREPOST_FORWARD_EVENT_STREAM_H_
+#ifndef SYCAMOREPOST_FORWARD_REQUEST_EVENT_STREAM_H_
+#define SYCAMOREPOST_FORWARD_REQUEST_EVENT_STREAM_H_
 
 #include <cstdint>
 #include <optional>
@@ -37,4 +37,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_EVENT_STREAM_H_
+#endif // SYCAMOREPOST_FORWARD_REQUEST_EVENT_STREAM_H_
--- a/include/sycamorepost/forward/PromptParts.h
+++ b/include/sycamorepost/forward/request/PromptParts.h
@@ -1,6 +1,6 @@
 // The ids of the parts of a prompt, such as a shared system prompt or a document.
-#ifndef SYCAMOREPOST_FORWARD_PROMPT_PARTS_H_
-#define SYCAMOREPOST_FORWARD_PROMPT_PARTS_H_
+#ifndef SYCAMOREPOST_FORWARD_REQUEST_PROMPT_PARTS_H_
+#define SYCAMOREPOST_FORWARD_REQUEST_PROMPT_PARTS_H_
 
 #include <cstdint>
 #include <string>
@@ -30,4 +30,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_PROMPT_PARTS_H_
+#endif // SYCAMOREPOST_FORWARD_REQUEST_PROMPT_PARTS_H_
--- a/include/sycamorepost/forward/ConfigurationFetcher.h
+++ b/include/sycamorepost/forward/sharing/ConfigurationFetcher.h
@@ -1,7 +1,7 @@
 // Decides when an entry requests the configuration from a peer, because the peer has a newer
 // version and the entry's own reads of the store do not deliver it.
-#ifndef SYCAMOREPOST_FORWARD_CONFIGURATION_FETCHER_H_
-#define SYCAMOREPOST_FORWARD_CONFIGURATION_FETCHER_H_
+#ifndef SYCAMOREPOST_FORWARD_SHARING_CONFIGURATION_FETCHER_H_
+#define SYCAMOREPOST_FORWARD_SHARING_CONFIGURATION_FETCHER_H_
 
 #include <cstdint>
 #include <map>
@@ -63,4 +63,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_CONFIGURATION_FETCHER_H_
+#endif // SYCAMOREPOST_FORWARD_SHARING_CONFIGURATION_FETCHER_H_
--- a/include/sycamorepost/forward/EntryGroup.h
+++ b/include/sycamorepost/forward/sharing/EntryGroup.h
@@ -1,7 +1,7 @@
 // The entries of the deployment by failure domain, and which of them exchange load reports
 // directly.
-#ifndef SYCAMOREPOST_FORWARD_ENTRY_GROUP_H_
-#define SYCAMOREPOST_FORWARD_ENTRY_GROUP_H_
+#ifndef SYCAMOREPOST_FORWARD_SHARING_ENTRY_GROUP_H_
+#define SYCAMOREPOST_FORWARD_SHARING_ENTRY_GROUP_H_
 
 #include <cstdint>
 #include <functional>
@@ -76,4 +76,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_ENTRY_GROUP_H_
+#endif // SYCAMOREPOST_FORWARD_SHARING_ENTRY_GROUP_H_
--- a/include/sycamorepost/forward/RegistrationView.h
+++ b/include/sycamorepost/forward/sharing/RegistrationView.h
@@ -1,7 +1,7 @@
 // What one entry knows of the registered targets, from its own reads of the store and from the
 // reports of its neighbours.
-#ifndef SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
-#define SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
+#ifndef SYCAMOREPOST_FORWARD_SHARING_REGISTRATION_VIEW_H_
+#define SYCAMOREPOST_FORWARD_SHARING_REGISTRATION_VIEW_H_
 
 #include <cstdint>
 #include <map>
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/StoreSharing.h"
-#include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/sharing/StoreSharing.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
 
 namespace sycamorepost {
 
@@ -80,4 +80,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_REGISTRATION_VIEW_H_
+#endif // SYCAMOREPOST_FORWARD_SHARING_REGISTRATION_VIEW_H_
--- a/include/sycamorepost/forward/StoreSharing.h
+++ b/include/sycamorepost/forward/sharing/StoreSharing.h
@@ -1,7 +1,7 @@
 // How the entries of one failure domain share what they read from the store: when an entry reads by
 // itself, and the reports of a reader to its neighbours.
-#ifndef SYCAMOREPOST_FORWARD_STORE_SHARING_H_
-#define SYCAMOREPOST_FORWARD_STORE_SHARING_H_
+#ifndef SYCAMOREPOST_FORWARD_SHARING_STORE_SHARING_H_
+#define SYCAMOREPOST_FORWARD_SHARING_STORE_SHARING_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
 
 namespace sycamorepost {
 
@@ -127,4 +127,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_STORE_SHARING_H_
+#endif // SYCAMOREPOST_FORWARD_SHARING_STORE_SHARING_H_
--- a/include/sycamorepost/forward/PartQuarantine.h
+++ b/include/sycamorepost/forward/targets/PartQuarantine.h
@@ -1,7 +1,7 @@
 // Finds out which part of prompts crashes the engines that decode it, and decides which requests
 // may still run.
-#ifndef SYCAMOREPOST_FORWARD_PART_QUARANTINE_H_
-#define SYCAMOREPOST_FORWARD_PART_QUARANTINE_H_
+#ifndef SYCAMOREPOST_FORWARD_TARGETS_PART_QUARANTINE_H_
+#define SYCAMOREPOST_FORWARD_TARGETS_PART_QUARANTINE_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/PromptParts.h"
+#include "sycamorepost/forward/request/PromptParts.h"
 
 namespace sycamorepost {
 
@@ -148,4 +148,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_PART_QUARANTINE_H_
+#endif // SYCAMOREPOST_FORWARD_TARGETS_PART_QUARANTINE_H_
--- a/include/sycamorepost/forward/TargetDirectory.h
+++ b/include/sycamorepost/forward/targets/TargetDirectory.h
@@ -1,6 +1,6 @@
 // The directory of registered targets, by instance id.
-#ifndef SYCAMOREPOST_FORWARD_TARGET_DIRECTORY_H_
-#define SYCAMOREPOST_FORWARD_TARGET_DIRECTORY_H_
+#ifndef SYCAMOREPOST_FORWARD_TARGETS_TARGET_DIRECTORY_H_
+#define SYCAMOREPOST_FORWARD_TARGETS_TARGET_DIRECTORY_H_
 
 #include <cstdint>
 #include <map>
@@ -124,4 +124,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_TARGET_DIRECTORY_H_
+#endif // SYCAMOREPOST_FORWARD_TARGETS_TARGET_DIRECTORY_H_
--- a/include/sycamorepost/forward/TargetNotices.h
+++ b/include/sycamorepost/forward/targets/TargetNotices.h
@@ -1,7 +1,7 @@
 // What targets announce in their responses: that they are leaving, or that they want no work for a
 // while.
-#ifndef SYCAMOREPOST_FORWARD_TARGET_NOTICES_H_
-#define SYCAMOREPOST_FORWARD_TARGET_NOTICES_H_
+#ifndef SYCAMOREPOST_FORWARD_TARGETS_TARGET_NOTICES_H_
+#define SYCAMOREPOST_FORWARD_TARGETS_TARGET_NOTICES_H_
 
 #include <cstdint>
 #include <map>
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "sycamorepost/Types.h"
-#include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
 
 namespace sycamorepost {
 
@@ -61,4 +61,4 @@
 
 } // namespace sycamorepost
 
-#endif // SYCAMOREPOST_FORWARD_TARGET_NOTICES_H_
+#endif // SYCAMOREPOST_FORWARD_TARGETS_TARGET_NOTICES_H_
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,6 +1,5 @@
-// The state of the forwarding reducer. Its member functions are defined in ForwardAdmission.cpp,
-// ForwardLaunch.cpp, ForwardAttempts.cpp, ForwardTakeover.cpp, ForwardCrashes.cpp,
-// ForwardReservations.cpp, ForwardConfiguration.cpp and ForwardReducer.cpp.
+// The state of the forwarding reducer. Its member functions are defined in ForwardReducer.cpp and in
+// the files of the folders below whose names begin with Forward.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
@@ -8,12 +7,12 @@
 #include <random>
 #include <set>
 
-#include "sycamorepost/forward/ConfigurationFetcher.h"
-#include "sycamorepost/forward/EventStream.h"
 #include "sycamorepost/forward/ForwardReducer.h"
-#include "sycamorepost/forward/Placement.h"
-#include "sycamorepost/forward/RateMeter.h"
-#include "sycamorepost/forward/RetryBudget.h"
+#include "sycamorepost/forward/admission/RetryBudget.h"
+#include "sycamorepost/forward/load/RateMeter.h"
+#include "sycamorepost/forward/placement/Placement.h"
+#include "sycamorepost/forward/request/EventStream.h"
+#include "sycamorepost/forward/sharing/ConfigurationFetcher.h"
 
 namespace sycamorepost::internal {
 
--- a/src/core/forward/RouteTable.cpp
+++ b/src/core/forward/admission/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/RouteTable.h"
+#include "sycamorepost/forward/admission/RouteTable.h"
 
 #include <algorithm>
 #include <sstream>
--- a/src/core/forward/EngineEstimate.cpp
+++ b/src/core/forward/load/EngineEstimate.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/EngineEstimate.h"
+#include "sycamorepost/forward/load/EngineEstimate.h"
 
 namespace sycamorepost {
 
--- a/src/core/forward/LoadTracker.cpp
+++ b/src/core/forward/load/LoadTracker.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/LoadTracker.h"
+#include "sycamorepost/forward/load/LoadTracker.h"
 
 #include <algorithm>
 
--- a/src/core/forward/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -1,10 +1,10 @@
-#include "sycamorepost/forward/Placement.h"
+#include "sycamorepost/forward/placement/Placement.h"
 
 #include <algorithm>
 #include <limits>
 
 #include "PlacementMemory.h"
-#include "sycamorepost/forward/EngineEstimate.h"
+#include "sycamorepost/forward/load/EngineEstimate.h"
 
 namespace sycamorepost {
 
--- a/src/core/forward/PlacementMemory.h
+++ b/src/core/forward/placement/PlacementMemory.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "sycamorepost/forward/Placement.h"
+#include "sycamorepost/forward/placement/Placement.h"
 
 namespace sycamorepost::internal {
 
--- a/src/core/forward/EventStream.cpp
+++ b/src/core/forward/request/EventStream.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/EventStream.h"
+#include "sycamorepost/forward/request/EventStream.h"
 
 #include <algorithm>
 
--- a/src/core/forward/ForwardAttempts.cpp
+++ b/src/core/forward/request/ForwardAttempts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "sycamorepost/forward/PromptParts.h"
+#include "sycamorepost/forward/request/PromptParts.h"
 
 namespace sycamorepost {
 
--- a/src/core/forward/PromptParts.cpp
+++ b/src/core/forward/request/PromptParts.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/PromptParts.h"
+#include "sycamorepost/forward/request/PromptParts.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/forward/ConfigurationFetcher.cpp
+++ b/src/core/forward/sharing/ConfigurationFetcher.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/ConfigurationFetcher.h"
+#include "sycamorepost/forward/sharing/ConfigurationFetcher.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/forward/EntryGroup.cpp
+++ b/src/core/forward/sharing/EntryGroup.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/EntryGroup.h"
+#include "sycamorepost/forward/sharing/EntryGroup.h"
 
 #include <algorithm>
 
--- a/src/core/forward/RegistrationView.cpp
+++ b/src/core/forward/sharing/RegistrationView.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/RegistrationView.h"
+#include "sycamorepost/forward/sharing/RegistrationView.h"
 
 #include <algorithm>
 
--- a/src/core/forward/StoreSharing.cpp
+++ b/src/core/forward/sharing/StoreSharing.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/StoreSharing.h"
+#include "sycamorepost/forward/sharing/StoreSharing.h"
 
 #include <algorithm>
 
--- a/src/core/forward/PartQuarantine.cpp
+++ b/src/core/forward/targets/PartQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/PartQuarantine.h"
+#include "sycamorepost/forward/targets/PartQuarantine.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/forward/TargetDirectory.cpp
+++ b/src/core/forward/targets/TargetDirectory.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/TargetDirectory.h"
+#include "sycamorepost/forward/targets/TargetDirectory.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/forward/TargetNotices.cpp
+++ b/src/core/forward/targets/TargetNotices.cpp
@@ -1,4 +1,4 @@
-#include "sycamorepost/forward/TargetNotices.h"
+#include "sycamorepost/forward/targets/TargetNotices.h"
 
 #include <algorithm>
 
--- a/test/ConfigurationFetcherTest.cpp
+++ b/test/ConfigurationFetcherTest.cpp
@@ -2,7 +2,7 @@
 // from which.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "sycamorepost/forward/ConfigurationFetcher.h"
+#include "sycamorepost/forward/sharing/ConfigurationFetcher.h"
 
 namespace sycamorepost {
 namespace {
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -12,8 +12,8 @@
 #include "harness/VirtualTime.h"
 #include "sycamorepost/Message.h"
 #include "sycamorepost/forward/ForwardReducer.h"
-#include "sycamorepost/forward/RetryBudget.h"
-#include "sycamorepost/forward/StoreSharing.h"
+#include "sycamorepost/forward/admission/RetryBudget.h"
+#include "sycamorepost/forward/sharing/StoreSharing.h"
 
 namespace sycamorepost {
 namespace {
--- a/test/CrashingPartTest.cpp
+++ b/test/CrashingPartTest.cpp
@@ -6,7 +6,7 @@
 #include <rapidcheck.h>
 
 #include "harness/CrashFleet.h"
-#include "sycamorepost/forward/PartQuarantine.h"
+#include "sycamorepost/forward/targets/PartQuarantine.h"
 
 namespace sycamorepost {
 namespace {
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -10,8 +10,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "sycamorepost/forward/RegistrationView.h"
-#include "sycamorepost/forward/StoreSharing.h"
+#include "sycamorepost/forward/sharing/RegistrationView.h"
+#include "sycamorepost/forward/sharing/StoreSharing.h"
 
 namespace sycamorepost {
 namespace {
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -11,8 +11,8 @@
 #include "platform/StoreClient.h"
 #include "runtime/DecisionLog.h"
 #include "runtime/Settings.h"
-#include "sycamorepost/forward/EventStream.h"
-#include "sycamorepost/forward/PromptParts.h"
+#include "sycamorepost/forward/request/EventStream.h"
+#include "sycamorepost/forward/request/PromptParts.h"
 
 namespace sycamorepost::platform {
 namespace {
--- a/test/coordination/main.cpp
+++ b/test/coordination/main.cpp
@@ -10,8 +10,8 @@
 #include <gflags/gflags.h>
 
 #include "sycamorepost/Message.h"
-#include "sycamorepost/forward/EngineEstimate.h"
 #include "sycamorepost/forward/ForwardReducer.h"
+#include "sycamorepost/forward/load/EngineEstimate.h"
 
 DEFINE_uint32(entries, 20, "Number of entries.");
 DEFINE_uint32(engines, 40, "Number of engines.");
