--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -3,6 +3,7 @@
 #ifndef SYCAMOREPOST_FORWARD_PLACEMENT_PLACEMENT_H_
 #define SYCAMOREPOST_FORWARD_PLACEMENT_PLACEMENT_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <random>
@@ -37,6 +38,27 @@
   double unreportedPromptsElsewhere = 0;
 };
 
+// Why a target must not get a request.
+enum class Exclusion
+{
+  None,
+  OtherService,
+  Draining,
+  Tried,       // The request has used it already.
+  WantsNoWork, // It has announced that it is leaving, or that it wants no work for a while.
+  Avoided,     // It has just failed. Used if no other target is left.
+};
+
+inline constexpr std::array<const char*, 6> kExclusionNames{ "none",  "other service", "draining",
+                                                             "tried", "wants no work", "avoided" };
+
+// Returns why a target must not get a request; the first reason, if there are several.
+Exclusion
+FindExclusion(const PlacementRequest& aRequest,
+              const RegisteredTarget& aTarget,
+              const LoadTracker& aLoadTracker,
+              Instant aNow);
+
 // An engine that prefills a part of the prompt.
 struct PrefillHelper
 {
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -97,10 +97,9 @@
 {
   std::vector<Candidate> candidates;
   for (const auto& [instance, target] : aTargets) {
-    const bool usable = target.service == aRequest.service->name && !target.draining &&
-                        !aRequest.triedInstances.contains(instance) &&
-                        (!aRequest.notices || aRequest.notices->MayReceive(target, aNow)) &&
-                        (aIncludeAvoided || !aLoadTracker.IsAvoided(instance, aNow));
+    const Exclusion exclusion = FindExclusion(aRequest, target, aLoadTracker, aNow);
+    const bool usable =
+      exclusion == Exclusion::None || (aIncludeAvoided && exclusion == Exclusion::Avoided);
     if (usable) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
       candidate.prefillMs = candidate.load.PrefillMs(aNow);
@@ -409,6 +408,27 @@
 
 } // namespace
 
+Exclusion
+FindExclusion(const PlacementRequest& aRequest,
+              const RegisteredTarget& aTarget,
+              const LoadTracker& aLoadTracker,
+              Instant aNow)
+{
+  if (aTarget.service != aRequest.service->name) {
+    return Exclusion::OtherService;
+  }
+  if (aTarget.draining) {
+    return Exclusion::Draining;
+  }
+  if (aRequest.triedInstances.contains(aTarget.instance)) {
+    return Exclusion::Tried;
+  }
+  if (aRequest.notices && !aRequest.notices->MayReceive(aTarget, aNow)) {
+    return Exclusion::WantsNoWork;
+  }
+  return aLoadTracker.IsAvoided(aTarget.instance, aNow) ? Exclusion::Avoided : Exclusion::None;
+}
+
 Placement
 ChoosePlacement(const PlacementRequest& aRequest,
                 const std::map<std::string, RegisteredTarget>& aTargets,
