Hold requests of the first moments until the configuration is read

Cause: an entry listens before its first reads of the store, which take 110 to 300 ms when 26 entries start together, and refused whatever came meanwhile.

Change: for half a second after its start an entry without configuration or targets holds requests and forwards them when both are known. Later, and when the store does not respond, they are refused at once as before.

--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -1,5 +1,5 @@
-// The state of the forwarding reducer. Its member functions are defined in ForwardReducer.cpp and in
-// the files of the folders below whose names begin with Forward.
+// The state of the forwarding reducer. Its member functions are defined in ForwardReducer.cpp and
+// in the files of the folders below whose names begin with Forward.
 #ifndef SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
@@ -154,6 +154,8 @@
   void OnEvent(const StopAnnounced& aStop);
   void OnEvent(const Wake& aWake);
 
+  // Records that an event is about to be handled.
+  void BeginStep(Instant aNow);
   // Schedules a broadcast when the last event changed the load of this entry.
   void ScheduleBroadcast();
   // Requests the configuration from a peer when that is due.
@@ -176,6 +178,9 @@
     std::string reason;
   };
   std::optional<Refusal> Admit(internal::RequestState& aState);
+  void Begin(internal::RequestState& aState);
+  bool IsStarting() const;
+  void BeginHeldRequests();
   std::string PickService(const RouteRule& aRoute);
   void Refuse(internal::RequestState& aState, const Refusal& aRefusal);
   Duration RetryAfterOf(const internal::RequestState& aState);
@@ -291,7 +296,9 @@
   std::size_t bufferedBytes = 0;                       // Of all attempts.
   std::map<std::uint64_t, std::uint64_t> commandOwner; // Handle by command.
   std::map<std::uint64_t, internal::PendingRelease> releases; // By command.
-  Instant stopsAt = Instant::max(); // When the process stops, once that is announced.
+  std::optional<Instant> startedAt;                           // When the first event was handled.
+  std::vector<std::uint64_t> heldWhileStarting; // Handles of requests; some may have ended.
+  Instant stopsAt = Instant::max();             // When the process stops, once that is announced.
   std::mt19937_64 random;
   std::uint64_t attemptSequence = 0;
   std::uint64_t commandSequence = 0;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -52,6 +52,14 @@
 {
 }
 
+void
+ForwardReducer::Impl::BeginStep(Instant aNow)
+{
+  this->now = aNow;
+  this->startedAt = this->startedAt.value_or(aNow);
+  this->effects.clear();
+}
+
 void
 ForwardReducer::Impl::OnEvent(const ForwardCallerDisconnected& aDisconnect)
 {
@@ -76,6 +84,7 @@
     }
   }
   this->targets = aChanged.targets;
+  this->BeginHeldRequests();
 }
 
 void
@@ -574,8 +583,7 @@
 std::vector<ForwardEffect>
 ForwardReducer::Step(const ForwardEvent& aEvent, Instant aNow)
 {
-  this->impl->now = aNow;
-  this->impl->effects.clear();
+  this->impl->BeginStep(aNow);
   std::visit([this](const auto& aKnown) { this->impl->OnEvent(aKnown); }, aEvent);
   this->impl->ScheduleBroadcast();
   this->impl->RequestDueConfiguration();
--- a/src/core/forward/admission/ForwardAdmission.cpp
+++ b/src/core/forward/admission/ForwardAdmission.cpp
@@ -20,6 +20,12 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 
+// A process that has just started reads the configuration and the registrations within this time
+// unless the store is down: measured 110 to 300 ms with 26 entries that start together.
+constexpr Duration kStartPeriod = std::chrono::milliseconds(500);
+
+constexpr const char* kNoConfiguration = "no configuration is known yet";
+
 } // namespace
 
 void
@@ -29,20 +35,57 @@
   state.request = aRequest;
   state.arrivedAt = this->now;
   state.lastEventId = aRequest.resumeAfter;
-  if (const auto refusal = this->Admit(state)) {
-    this->Refuse(state, *refusal);
+  if (this->IsStarting()) {
+    state.deadline = *this->startedAt + kStartPeriod;
+    state.lastFailure = kNoConfiguration;
+    this->heldWhileStarting.push_back(aRequest.handle);
+    this->SetWake(state);
+    return;
+  }
+  this->Begin(state);
+}
+
+void
+ForwardReducer::Impl::Begin(RequestState& aState)
+{
+  if (const auto refusal = this->Admit(aState)) {
+    this->Refuse(aState, *refusal);
     return;
   }
-  state.service = this->PickService(*state.route);
-  this->BudgetOf(state.service).RecordRequest();
-  this->Launch(state);
+  aState.service = this->PickService(*aState.route);
+  this->BudgetOf(aState.service).RecordRequest();
+  this->Launch(aState);
+}
+
+// Returns whether the first configuration and registrations are about to arrive. When all entries
+// restart together, callers are back before these are read: refused, they would return only after
+// the Retry-After.
+bool
+ForwardReducer::Impl::IsStarting() const
+{
+  return !this->Ready() && this->now < *this->startedAt + kStartPeriod;
+}
+
+void
+ForwardReducer::Impl::BeginHeldRequests()
+{
+  if (!this->Ready()) {
+    return;
+  }
+  for (const std::uint64_t handle : std::exchange(this->heldWhileStarting, {})) {
+    const auto held = this->requests.find(handle);
+    if (held != this->requests.end()) {
+      held->second.lastFailure.clear();
+      this->Begin(held->second);
+    }
+  }
 }
 
 std::optional<ForwardReducer::Impl::Refusal>
 ForwardReducer::Impl::Admit(RequestState& aState)
 {
   if (!this->table) {
-    return Refusal{ 503, "no configuration is known yet" };
+    return Refusal{ 503, kNoConfiguration };
   }
   aState.table = this->table;
   const ForwardRequest& request = aState.request;
--- a/src/core/forward/sharing/ForwardConfiguration.cpp
+++ b/src/core/forward/sharing/ForwardConfiguration.cpp
@@ -14,6 +14,7 @@
   this->table = aChanged.table;
   this->fetcher.RecordApplied(this->table->version, this->now);
   this->broadcastAt = this->now; // Neighbours learn of the version from the load report.
+  this->BeginHeldRequests();
 }
 
 void
