Send nothing to evacuated failure domains

What callers saw: nothing; the operators did.

Cause: the records evacuate/DOMAIN lie beside the configuration in the same topic, and the entries read and ignored them.

Change: EvacuatedDomains holds which domains are evacuated as of an offset of the topic; of two views the one with the higher offset wins. The reader of a domain passes its view on with the offset of its report, and the reporters of each domain to the other domains, so that a domain whose entries are all turned away by the store learns of it. A peer that sends the configuration sends its view first.

A reader's report moves the offset of its neighbours, so the view travels in the same message: otherwise they would skip the record.

--- a/include/sycamorepost/Message.h
+++ b/include/sycamorepost/Message.h
@@ -15,6 +15,7 @@
 #include "sycamorepost/Types.h"
 #include "sycamorepost/forward/load/TargetLoadReport.h"
 #include "sycamorepost/forward/sharing/StoreSharing.h"
+#include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/PartQuarantine.h"
 
 namespace sycamorepost {
@@ -293,6 +294,12 @@
   std::int64_t startedAtMs = 0; // The Unix time of the start of its incarnation.
 };
 
+// Entry to an entry that has requested the configuration: which failure domains are evacuated.
+struct EvacuationNotice
+{
+  EvacuationView view;
+};
+
 using Message =
   std::variant<ProbeRequest,
                ProbeReply,
@@ -322,7 +329,8 @@
                DomainLoadReport,  // To an entry of another failure domain; relayed there.
                StoreReport,       // To the other entries of the failure domain.
                TargetCrashReport, // To all entries.
-               QuarantineReport>; // To all entries, or relayed in another failure domain.
+               QuarantineReport,  // To all entries, or relayed in another failure domain.
+               EvacuationNotice>;
 
 // The names of the messages in the order of the variant, used as metric labels.
 inline constexpr std::array<std::string_view, std::variant_size_v<Message>> kMessageNames{
@@ -330,7 +338,7 @@
   "cancel",         "ping",        "pong",         "leaving",      "suspect",    "cleared",
   "rules-ask",      "rules-tell",  "load",         "hold-ask",     "hold-reply", "hold-release",
   "span-put",       "span-held",   "span-done",    "span-moved",   "entry-load", "break",
-  "target-leaving", "domain-load", "store-report", "target-crash", "quarantine"
+  "target-leaving", "domain-load", "store-report", "target-crash", "quarantine", "evacuation"
 };
 
 // A message with its sender and the incarnations of both ends.
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -17,6 +17,7 @@
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
 #include "sycamorepost/forward/sharing/EntryGroup.h"
+#include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/PartQuarantine.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 #include "sycamorepost/forward/targets/TargetNotices.h"
@@ -118,6 +119,14 @@
   std::map<std::string, RegisteredTarget> targets;
 };
 
+// Another entry reports which failure domains are evacuated; a read of the store is an
+// EvacuationRead.
+struct PeerEvacuationReport
+{
+  std::string peer;
+  EvacuationView view;
+};
+
 // The registered entries have changed; this one is among them.
 struct EntriesChanged
 {
@@ -182,6 +191,8 @@
                                   ReservationCommandEnd,
                                   RoutesChanged,
                                   TargetsChanged,
+                                  EvacuationRead,
+                                  PeerEvacuationReport,
                                   EntriesChanged,
                                   PeerLoadReport,
                                   DomainLoadReport,
@@ -401,6 +412,9 @@
   // Returns the registered entries.
   const EntryGroup& Entries() const;
 
+  // Returns which failure domains are evacuated.
+  const EvacuationView& Evacuations() const;
+
   // Returns the rank of this entry among the live ones of its failure domain; see EntryGroup.
   std::size_t DomainRank(Instant aNow) const;
 
--- a/include/sycamorepost/forward/load/TargetLoadReport.h
+++ b/include/sycamorepost/forward/load/TargetLoadReport.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "sycamorepost/forward/targets/EvacuatedDomains.h"
+
 namespace sycamorepost {
 
 // One entry's load on one target.
@@ -28,6 +30,7 @@
   std::uint32_t entries = 0;              // The live entries of the domain.
   bool isRelayed = false;                 // It is not to be relayed again.
   std::vector<TargetLoadReport> loads;    // Targets that are not listed are idle.
+  EvacuationView evacuations;             // As known there.
 };
 
 } // namespace sycamorepost
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 #include "sycamorepost/forward/targets/TargetNotices.h"
 
@@ -24,14 +25,15 @@
   const ServiceTraits* service = nullptr;
   std::uint32_t promptTokens = 0; // 0 for a plain call.
   std::uint32_t outputTokens = 0;
-  Duration objective{};                   // The first event is on time within it.
-  Duration strictGap{};                   // The shortest gap objective of all streams,
-  Duration relaxedGap{};                  // and the shortest one of the relaxed streams.
-  Duration gapObjective{};                // The gap objective of the request's route.
-  std::set<std::string> triedInstances;   // Instances that must not be used again.
-  const TargetNotices* notices = nullptr; // Targets that want no work; may be null.
-  std::string domain;                     // The failure domain of the entry.
-  bool hearsNeighbours = true;            // The load in the entry's own failure domain is known.
+  Duration objective{};                        // The first event is on time within it.
+  Duration strictGap{};                        // The shortest gap objective of all streams,
+  Duration relaxedGap{};                       // and the shortest one of the relaxed streams.
+  Duration gapObjective{};                     // The gap objective of the request's route.
+  std::set<std::string> triedInstances;        // Instances that must not be used again.
+  const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
+  const EvacuatedDomains* evacuated = nullptr; // May be null.
+  std::string domain;                          // The failure domain of the entry.
+  bool hearsNeighbours = true; // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
   // failure domain, and all.
   double unreportedPrompts = 0;
@@ -44,13 +46,15 @@
   None,
   OtherService,
   Draining,
+  Evacuated,   // Its failure domain is.
   Tried,       // The request has used it already.
   WantsNoWork, // It has announced that it is leaving, or that it wants no work for a while.
   Avoided,     // It has just failed. Used if no other target is left.
 };
 
-inline constexpr std::array<const char*, 6> kExclusionNames{ "none",  "other service", "draining",
-                                                             "tried", "wants no work", "avoided" };
+inline constexpr std::array<const char*, 7> kExclusionNames{
+  "none", "other service", "draining", "evacuated", "tried", "wants no work", "avoided"
+};
 
 // Returns why a target must not get a request; the first reason, if there are several.
 Exclusion
--- a/include/sycamorepost/forward/sharing/StoreSharing.h
+++ b/include/sycamorepost/forward/sharing/StoreSharing.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 
 namespace sycamorepost {
@@ -93,6 +94,7 @@
   std::uint64_t configurationVersion = 0;
   std::uint64_t configurationOffset = 0; // The offset of the next read of the configuration.
   RegistrationReport registrations;
+  EvacuationView evacuations; // With a configuration, as of its offset.
 };
 
 // The last states of the topic at a reader. A report covers all of them, so that a neighbour
--- /dev/null
+++ b/include/sycamorepost/forward/targets/EvacuatedDomains.h
@@ -0,0 +1,57 @@
+// The failure domains that the operators have evacuated.
+#ifndef SYCAMOREPOST_FORWARD_TARGETS_EVACUATED_DOMAINS_H_
+#define SYCAMOREPOST_FORWARD_TARGETS_EVACUATED_DOMAINS_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sycamorepost {
+
+// Which failure domains are evacuated, as the store's topic says up to an offset.
+struct EvacuationView
+{
+  std::uint64_t offset = 0; // The offset after the last record of the topic that is considered.
+  std::set<std::string> domains;
+
+  bool operator==(const EvacuationView&) const = default;
+};
+
+// A record of the topic: a domain is evacuated, or its evacuation is revoked.
+struct EvacuationChange
+{
+  std::string domain;
+  bool isEvacuated = false;
+};
+
+// What a read of the topic has returned.
+struct EvacuationRead
+{
+  bool isListing = false; // Domains that are not listed are not evacuated.
+  std::vector<EvacuationChange> changes;
+  std::uint64_t offset = 0; // The offset after the last record of the read.
+};
+
+// The evacuated domains as this entry knows them. Of two views the one with the higher offset is
+// newer, whether it comes from the store or from another entry, so that an old response or report
+// never revives an evacuation or revokes one. Nothing is forgotten while the store is unreachable.
+class EvacuatedDomains
+{
+public:
+  // Apply a read of the store, and the view of another entry. Return whether a domain was evacuated
+  // or an evacuation revoked; an older read or view changes nothing.
+  bool ApplyRead(const EvacuationRead& aRead);
+  bool Adopt(const EvacuationView& aView);
+
+  bool Contains(const std::string& aDomain) const { return this->view.domains.contains(aDomain); }
+
+  const EvacuationView& View() const { return this->view; }
+
+private:
+  EvacuationView view;
+};
+
+} // namespace sycamorepost
+
+#endif // SYCAMOREPOST_FORWARD_TARGETS_EVACUATED_DOMAINS_H_
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -145,13 +145,16 @@
 SYCAMOREPOST_WIRE(EntryLoad, reports, isSnapshot, version)
 SYCAMOREPOST_WIRE(AbortNotice, fingerprint)
 SYCAMOREPOST_WIRE(TargetLeavingNotice, instance, startedAtMs)
+SYCAMOREPOST_WIRE(EvacuationView, offset, domains)
+SYCAMOREPOST_WIRE(EvacuationNotice, view)
 SYCAMOREPOST_WIRE(DomainLoadReport,
                   domain,
                   reporter,
                   configurationVersion,
                   entries,
                   isRelayed,
-                  loads)
+                  loads,
+                  evacuations)
 SYCAMOREPOST_WIRE(RegisteredTarget,
                   instance,
                   service,
@@ -166,7 +169,8 @@
                   registrationsAgeMs,
                   configurationVersion,
                   configurationOffset,
-                  registrations)
+                  registrations,
+                  evacuations)
 
 SYCAMOREPOST_WIRE(TargetCrashReport, instance, startedAtMs, prompts)
 SYCAMOREPOST_WIRE(QuarantinedParts, parts, trials, trialInMs)
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -141,6 +141,8 @@
   void OnEvent(const ReservationCommandEnd& aEnd);
   void OnEvent(const RoutesChanged& aChanged);
   void OnEvent(const TargetsChanged& aChanged);
+  void OnEvent(const EvacuationRead& aRead);
+  void OnEvent(const PeerEvacuationReport& aReport);
   void OnEvent(const EntriesChanged& aChanged);
   void OnEvent(const PeerLoadReport& aReport);
   void OnEvent(const DomainLoadReport& aReport);
@@ -163,6 +165,7 @@
   std::optional<Instant> NextWake() const;
   bool Ready() const;
   const EntryGroup& Entries() const { return this->group; }
+  const EvacuationView& Evacuations() const { return this->evacuated.View(); }
   std::size_t DomainRank(Instant aNow) const;
   nlohmann::json Dump(Instant aNow) const;
 
@@ -251,6 +254,8 @@
   void RecordAbort(const internal::RequestState& aState);
   void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
   bool IsUsable(const std::string& aInstance) const;
+  void AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer);
+  void LogEvacuations(const std::set<std::string>& aBefore, const std::string& aSource);
   std::uint32_t AbortCount(std::uint64_t aFingerprint);
   void AddAbort(std::uint64_t aFingerprint);
   void RunPeriodicWork();
@@ -266,6 +271,7 @@
   std::map<std::string, RegisteredTarget> targets;
   LoadTracker loadTracker;
   TargetNotices notices;
+  EvacuatedDomains evacuated;
   ConfigurationFetcher fetcher;
   EntryGroup group;
   struct KnownPeer
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -145,6 +145,7 @@
     relayed.report.isRelayed = true;
     this->effects.emplace_back(std::move(relayed));
   }
+  this->AdoptEvacuations(aReport.evacuations, aReport.reporter);
   const std::string peer = kDomainPrefix + aReport.domain;
   this->loadTracker.RemovePeer(peer);
   this->loadTracker.ApplyReport(peer, aReport.loads, this->now);
@@ -259,6 +260,7 @@
                          neighbours.begin(), neighbours.end(), [this](const auto& aPeer) {
                            return this->peers.contains(aPeer);
                          }));
+  report.evacuations = this->evacuated.View();
   report.loads = this->loadTracker.SnapshotOf(
     [this](const std::string& aPeer) { return this->group.IsNeighbour(aPeer); }, this->now);
   for (TargetLoadReport& load : report.loads) {
@@ -464,6 +466,7 @@
 {
   const auto found = this->targets.find(aInstance);
   return found != this->targets.end() && !found->second.draining &&
+         !this->evacuated.Contains(found->second.domain) &&
          this->notices.MayReceive(found->second, this->now);
 }
 
@@ -527,6 +530,8 @@
 {
   nlohmann::json dump;
   dump["configuration"] = this->table ? this->table->version : 0;
+  dump["evacuated"] = { { "domains", this->evacuated.View().domains },
+                        { "as_of_offset", this->evacuated.View().offset } };
   for (const auto& [instance, target] : this->targets) {
     const TargetLoad load = this->loadTracker.LoadOf(instance, aNow);
     dump["targets"][instance] = { { "service", target.service },
@@ -614,6 +619,12 @@
   return this->impl->Entries();
 }
 
+const EvacuationView&
+ForwardReducer::Evacuations() const
+{
+  return this->impl->Evacuations();
+}
+
 std::size_t
 ForwardReducer::DomainRank(Instant aNow) const
 {
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -119,6 +119,7 @@
   Instant firstEnd = Instant::max();
   for (const auto& [instance, target] : aTargets) {
     if (aRequest.notices && target.service == aRequest.service->name && !target.draining &&
+        !(aRequest.evacuated && aRequest.evacuated->Contains(target.domain)) &&
         !aRequest.notices->IsLeaving(target)) {
       firstEnd = std::min(firstEnd, aRequest.notices->PausedUntil(target));
     }
@@ -420,6 +421,9 @@
   if (aTarget.draining) {
     return Exclusion::Draining;
   }
+  if (aRequest.evacuated && aRequest.evacuated->Contains(aTarget.domain)) {
+    return Exclusion::Evacuated;
+  }
   if (aRequest.triedInstances.contains(aTarget.instance)) {
     return Exclusion::Tried;
   }
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -109,6 +109,7 @@
   request.relaxedGap = aState.table->RelaxedGapObjective();
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
+  request.evacuated = &this->evacuated;
   request.domain = this->config.domain;
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -85,9 +85,11 @@
                [this](const std::map<std::string, RegisteredEntry>& aEntries) {
                  this->OnEntries(aEntries);
                },
+               [this](const EvacuationRead& aRead) { this->Step(aRead); },
                [this](bool aReached) { this->Step(ConfigurationReadEnd{ aReached }); },
-               [this](const StoreReport& aReport) {
-                 this->bus.SendToAll(this->reducer.Entries().Neighbours(), aReport);
+               [this](StoreReport aReport) {
+                 aReport.evacuations = this->reducer.Evacuations();
+                 this->bus.SendToAll(this->reducer.Entries().Neighbours(), std::move(aReport));
                },
                [this] { return this->reducer.DomainRank(Now()); } },
              this->incarnation)
@@ -284,10 +286,7 @@
   } else if (const auto* domainLoad = std::get_if<DomainLoadReport>(&aEnvelope.message)) {
     this->Step(*domainLoad);
   } else if (const auto* report = std::get_if<StoreReport>(&aEnvelope.message)) {
-    if (!this->reducer.Entries().IsNeighbour(aEnvelope.from) ||
-        !this->follower.AcceptReport(*report, aEnvelope.from)) {
-      this->metrics.Count("forward_peer_reports_ignored", "store");
-    }
+    this->AcceptStoreReport(*report, aEnvelope.from);
   } else if (const auto* notice = std::get_if<AbortNotice>(&aEnvelope.message)) {
     this->Step(PeerAbortReport{ notice->fingerprint });
   } else if (const auto* leaving = std::get_if<TargetLeavingNotice>(&aEnvelope.message)) {
@@ -296,6 +295,8 @@
     this->Step(*crash);
   } else if (const auto* quarantine = std::get_if<QuarantineReport>(&aEnvelope.message)) {
     this->Step(PeerQuarantineReport{ aEnvelope.from, *quarantine });
+  } else if (const auto* evacuation = std::get_if<EvacuationNotice>(&aEnvelope.message)) {
+    this->Step(PeerEvacuationReport{ aEnvelope.from, evacuation->view });
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
     this->SendConfiguration(aEnvelope.from, request->version);
   } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
@@ -304,11 +305,27 @@
   }
 }
 
+// The evacuated domains come first: the follower takes over the offset of the report, and does not
+// read the records before it.
+void
+ForwardDaemon::AcceptStoreReport(const StoreReport& aReport, const std::string& aPeer)
+{
+  if (!this->reducer.Entries().IsNeighbour(aPeer)) {
+    this->metrics.Count("forward_peer_reports_ignored", "store");
+    return;
+  }
+  this->Step(PeerEvacuationReport{ aPeer, aReport.evacuations });
+  if (!this->follower.AcceptReport(aReport, aPeer)) {
+    this->metrics.Count("forward_peer_reports_ignored", "store");
+  }
+}
+
 void
 ForwardDaemon::SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion)
 {
   const std::uint64_t version = this->follower.ConfigurationVersion();
   if (version > aKnownVersion) {
+    this->bus.Send(aPeer, 0, EvacuationNotice{ this->reducer.Evacuations() }, nullptr);
     this->bus.Send(aPeer, 0, RulesResponse{ version, 0 }, MakeBody(this->configuration));
   }
 }
@@ -405,6 +422,8 @@
   this->metrics.Set("configuration_version",
                     static_cast<double>(this->follower.ConfigurationVersion()));
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
+  this->metrics.Set("forward_evacuated_domains",
+                    static_cast<double>(this->reducer.Evacuations().domains.size()));
   this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
   this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -89,6 +89,7 @@
   asio::awaitable<void> RunReservationCommand(SendReservationCommand aCommand);
 
   void OnMessage(const Envelope& aEnvelope);
+  void AcceptStoreReport(const StoreReport& aReport, const std::string& aPeer);
   void SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion);
   void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
   void OnEntries(const std::map<std::string, RegisteredEntry>& aEntries);
