Refuse long prompts that cost other callers more than they are worth

Cause: parts of long prompts are prefilled between the events of short streams. The placement chose the cheapest number of engines for a long prompt, but then placed it whatever that cost the streams there.

Change: beyond half of the prompt's own weight its caller is refused at once with the predicted wait; a caller that returns may cost up to the whole weight, and what has begun is never refused for it. Long prompts queue on engines without short streams for up to 300 ms (100 before) for each stream that they spare.

LongPromptsThatCostMoreThanTheyAreWorthAreRefused fails before.

--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -33,6 +33,9 @@
   const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
   const EvacuatedDomains* evacuated = nullptr; // May be null.
   std::string domain;                          // The failure domain of the entry.
+  // The greatest cost of a long prompt to all callers, its own delay included, as a share of its
+  // weight.
+  double maxCostShare = 0.5;
   bool hearsNeighbours = true; // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
   // failure domain, and all.
@@ -75,10 +78,11 @@
 enum class PlacementStatus
 {
   Placed,
-  NoTarget, // No usable target is registered.
-  Full,     // No combination of engines has enough free memory.
-  TooLarge, // The prompt exceeds the memory of all engines together.
-  Paused,   // All targets want no work for a while.
+  NoTarget,  // No usable target is registered.
+  Full,      // No combination of engines has enough free memory.
+  TooLarge,  // The prompt exceeds the memory of all engines together.
+  Paused,    // All targets want no work for a while.
+  TooCostly, // The gaps that a long prompt adds to other streams cost more than it is worth.
 };
 
 // The chosen target with its helpers, and the predicted times.
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -104,6 +104,9 @@
                        [](const OtherAttempt& aOther) { return !aOther.reservations.empty(); });
   }
 
+  // Returns whether a target may have worked for it.
+  bool HasStarted() const { return this->reachedAttempts > 0 || this->headSent; }
+
   Instant renewAt;                  // When the reservations are renewed.
   Instant stallAt = Instant::max(); // When the attempt counts as stalled.
   Instant wakeAt = Instant::max();
@@ -197,6 +200,8 @@
   std::uint32_t UrgencyOf(const internal::RequestState& aState) const;
   void ArmStallTimer(internal::RequestState& aState, Duration aTimeout);
   Duration MaxFirstEventWait(const internal::RequestState& aState) const;
+  double MaxCostShare(const internal::RequestState& aState) const;
+  bool IsReturning(const internal::RequestState& aState) const;
   Duration FirstEventTimeout(const internal::RequestState& aState) const;
   internal::RequestState* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -47,8 +47,9 @@
 // Cost, in milliseconds, of each strict stream beyond kStrictSlotShare.
 constexpr double kCrowdingMs = 40;
 
-// Cost, in milliseconds, of each strict stream on an engine that is considered for a long prompt.
-constexpr double kStrictStreamMs = 100;
+// Cost, in milliseconds, of each strict stream on an engine that is considered for a long prompt: a
+// queue on other engines that is shorter than this costs callers less than the gaps of the stream.
+constexpr double kStrictStreamMs = 300;
 
 // The same for each unit of RelaxedWeight().
 constexpr double kRelaxedWeightMs = 30;
@@ -265,9 +266,16 @@
          EstimatePassMs(traits, 1, aRequest.promptTokens);
 }
 
+// The number of engines that prefill a long prompt, and what that costs all callers.
+struct PartChoice
+{
+  std::size_t parts = 1;
+  double cost = 0; // In short requests.
+};
+
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
 // delay and of the longer gaps of other streams.
-std::size_t
+PartChoice
 ChoosePartCount(const PlacementRequest& aRequest, const std::vector<Candidate>& aSorted)
 {
   const EngineTraits& traits = *aRequest.service->engine;
@@ -292,7 +300,7 @@
       best = parts;
     }
   }
-  return best;
+  return { best, bestCost };
 }
 
 bool
@@ -389,9 +397,14 @@
   const std::uint64_t need = std::uint64_t{ aRequest.promptTokens } + aRequest.outputTokens;
   const std::size_t maxParts = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
+  const PartChoice choice = isShort ? PartChoice{} : ChoosePartCount(aRequest, aCandidates);
+  if (!isShort && choice.cost > aRequest.maxCostShare * aRequest.promptTokens / kTokensPerWeight) {
+    placement.status = PlacementStatus::TooCostly;
+    placement.waitMs = FirstEventMs(aRequest, aCandidates, choice.parts);
+    return placement;
+  }
   // With too little memory on the first engines, more of them are used.
-  for (std::size_t parts = isShort ? 1 : ChoosePartCount(aRequest, aCandidates); parts <= maxParts;
-       ++parts) {
+  for (std::size_t parts = choice.parts; parts <= maxParts; ++parts) {
     std::vector<Candidate> chosen(aCandidates.begin(),
                                   aCandidates.begin() + static_cast<std::ptrdiff_t>(parts));
     placement = MakePlacement(aRequest, chosen, FirstEventMs(aRequest, aCandidates, parts));
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace sycamorepost {
 
@@ -49,6 +50,12 @@
 // two seconds.
 constexpr int kRetryWaitObjectives = 8;
 
+// The cost of a long prompt to all callers up to which it is accepted, as a share of its weight.
+// Each gap is predicted as if nothing else arrived; about as much follows before the prompt has
+// ended.
+constexpr double kMaxCostShare = 0.5;
+constexpr double kMaxCostShareOfReturning = 1;
+
 // How long a refused request is remembered: callers retry within a third of their timeout.
 constexpr Duration kRefusalTtl = std::chrono::seconds(5);
 
@@ -72,13 +79,19 @@
   Placement placement =
     ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
   if (placement.status != PlacementStatus::Placed) {
-    static constexpr std::array<const char*, 5> kReasons{ "",
-                                                          "no target is known",
-                                                          "all engines' memory is taken",
-                                                          "the prompt is larger than all engines",
-                                                          "all targets want no work for a while" };
+    static constexpr std::array<const char*, 6> kReasons{
+      "",
+      "no target is known",
+      "all engines' memory is taken",
+      "the prompt is larger than all engines",
+      "all targets want no work for a while",
+      "the prompt would delay too many other streams"
+    };
     aState.retryAfterHint = FromMs(placement.waitMs);
     aState.isRetryAfterRequested = placement.status == PlacementStatus::Paused;
+    if (placement.status == PlacementStatus::TooCostly) {
+      this->recentRefusals[aState.request.fingerprint] = this->now + kRefusalTtl;
+    }
     this->FailRequest(aState, kReasons.at(static_cast<std::size_t>(placement.status)));
     return;
   }
@@ -111,6 +124,7 @@
   request.notices = &this->notices;
   request.evacuated = &this->evacuated;
   request.domain = this->config.domain;
+  request.maxCostShare = this->MaxCostShare(aState);
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
   request.unreportedPrompts = this->promptRate.PerSecond(this->now) *
@@ -140,14 +154,33 @@
 ForwardReducer::Impl::MaxFirstEventWait(const RequestState& aState) const
 {
   const Duration objective = aState.route->objective;
-  const bool started = aState.reachedAttempts > 0 || aState.headSent;
-  if (aState.route->kind != RouteKind::Stream || started) {
+  if (aState.route->kind != RouteKind::Stream || aState.HasStarted()) {
     return Duration::max();
   }
+  return this->IsReturning(aState)
+           ? objective * kRetryWaitObjectives
+           : std::chrono::duration_cast<Duration>(objective * kMaxWaitShare);
+}
+
+// Returns the greatest cost of a long prompt to all callers, as a share of its weight. While more
+// long prompts arrive than the engines can prefill, those beyond it are refused, so that short
+// streams keep their gaps. What has run once is finished, and a caller that returns is less likely
+// to be refused again.
+double
+ForwardReducer::Impl::MaxCostShare(const RequestState& aState) const
+{
+  if (aState.HasStarted()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return this->IsReturning(aState) ? kMaxCostShareOfReturning : kMaxCostShare;
+}
+
+// Returns whether this entry has refused the request a short time ago.
+bool
+ForwardReducer::Impl::IsReturning(const RequestState& aState) const
+{
   const auto refusal = this->recentRefusals.find(aState.request.fingerprint);
-  const bool isRetry = refusal != this->recentRefusals.end() && refusal->second > this->now;
-  return isRetry ? objective * kRetryWaitObjectives
-                 : std::chrono::duration_cast<Duration>(objective * kMaxWaitShare);
+  return refusal != this->recentRefusals.end() && refusal->second > this->now;
 }
 
 void
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -246,6 +246,7 @@
   CPPUNIT_TEST(RequestWithRepeatedAbortsIsRefused);
   CPPUNIT_TEST(BurstOfShortPromptsIsShedBeyondShortQueue);
   CPPUNIT_TEST(LongPromptAvoidsEnginesWithStrictStreams);
+  CPPUNIT_TEST(LongPromptsThatCostMoreThanTheyAreWorthAreRefused);
   CPPUNIT_TEST(ShortPromptsArePackedOnFullestEngine);
   CPPUNIT_TEST(PromptsOverflowToAnotherDomainOnlyWhenTheOwnIsFull);
   CPPUNIT_TEST(PromptIsNotRefusedWhileAnotherDomainHasTime);
@@ -1130,6 +1131,32 @@
     }
   }
 
+  // Load pattern: long prompts arrive faster than the engines can prefill them, beside drafts.
+  // Guards against serving every long prompt at the price of the gaps of all drafts.
+  void LongPromptsThatCostMoreThanTheyAreWorthAreRefused()
+  {
+    // Drafts run on all engines, so that any part of the prompt delays some of them.
+    ForwardReducerDriver driver(4);
+    this->FillWithDrafts(driver);
+    const std::size_t drafts = driver.starts.size();
+    driver.SendRequest("/sift/", 60'000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.responses.size());
+    CPPUNIT_ASSERT_EQUAL(503, driver.responses.back().status);
+    CPPUNIT_ASSERT(driver.responses.back().retryAfter.has_value());
+    // Drafts are still accepted, and so is a prompt that has an engine for itself.
+    driver.SendRequest("/draft/", 3000);
+    CPPUNIT_ASSERT_EQUAL(drafts + 1, driver.starts.size());
+    driver.AddTarget("engine-9", "quizmind", 16);
+    driver.Step(TargetsChanged{ driver.targets });
+    driver.SendRequest("/sift/", 100'000);
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-9"), driver.starts.back().instance);
+    CPPUNIT_ASSERT(driver.starts.back().helpers.empty());
+    // What has run is finished, also at the price of the drafts.
+    driver.EndAttempt(AttemptEndKind::Aborted);
+    CPPUNIT_ASSERT_EQUAL(drafts + 3, driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.responses.size());
+  }
+
   // Load pattern: a short burst, then a long burst. Guards against a few short streams being left
   // on every engine, so that no engine is free for prefill.
   void ShortPromptsArePackedOnFullestEngine()
@@ -1271,6 +1298,18 @@
     CPPUNIT_ASSERT(!isSentSnapshot(1));
     CPPUNIT_ASSERT(isSentSnapshot(2));
   }
+
+private:
+  // Starts fourteen drafts for each of four engines, none of which ends.
+  void FillWithDrafts(ForwardReducerDriver& aDriver)
+  {
+    for (int i = 0; i < 56; ++i) {
+      aDriver.SendRequest("/draft/", 3000);
+      aDriver.ReceiveHead(200);
+      aDriver.ReceiveData(MakeEvent(1));
+      aDriver.AdvanceTime(milliseconds(15));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardReducerTest);
