Let long prompts wait for the first load reports after a common restart

Cause: the callers of all entries are back at the same moment, and each entry places their long prompts before it has heard where the others place theirs. Several parts of long prompts meet on one engine, between the events of its streams.

Change: while an entry that started less than a second ago has not heard most of its neighbours, a long prompt waits for a random time of up to half a second; short prompts and calls go at once. The objective of a long prompt has room for it.

LongPromptsOfTheFirstMomentsAwaitLoadReports is new.

--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -24,6 +24,9 @@
 // so within two passes.
 inline constexpr std::uint32_t kEventsOfProgress = 3;
 
+// A prompt that takes longer to prefill is long: it delays the streams of its engines noticeably.
+inline constexpr Duration kLongPrefill = std::chrono::milliseconds(150);
+
 // With less remaining time than this, no target could respond.
 inline constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 
@@ -107,6 +110,7 @@
   // Returns whether a target may have worked for it.
   bool HasStarted() const { return this->reachedAttempts > 0 || this->headSent; }
 
+  Instant startAt = Instant::max(); // When its first attempt starts, if that waits.
   Instant renewAt;                  // When the reservations are renewed.
   Instant stallAt = Instant::max(); // When the attempt counts as stalled.
   Instant wakeAt = Instant::max();
@@ -186,6 +190,7 @@
   std::optional<Refusal> Admit(internal::RequestState& aState);
   void Begin(internal::RequestState& aState);
   bool IsStarting() const;
+  bool WaitsForReports(const internal::RequestState& aState) const;
   void BeginHeldRequests();
   std::string PickService(const RouteRule& aRoute);
   void Refuse(internal::RequestState& aState, const Refusal& aRefusal);
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -208,6 +208,11 @@
     if (state.HasReservations() && this->now >= state.renewAt) {
       this->RenewReservations(state);
     }
+    if (this->now >= state.startAt) {
+      state.startAt = Instant::max();
+      this->Launch(state);
+      continue;
+    }
     if (this->now >= state.stallAt) {
       this->OnStall(state);
       continue;
@@ -389,7 +394,7 @@
 ForwardReducer::Impl::SetWake(RequestState& aState)
 {
   this->timers.erase({ aState.wakeAt, aState.request.handle });
-  aState.wakeAt = std::min(aState.deadline, aState.stallAt);
+  aState.wakeAt = std::min({ aState.deadline, aState.startAt, aState.stallAt });
   if (aState.HasReservations()) {
     aState.wakeAt = std::min(aState.wakeAt, aState.renewAt);
   }
--- a/src/core/forward/admission/ForwardAdmission.cpp
+++ b/src/core/forward/admission/ForwardAdmission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "sycamorepost/forward/load/EngineEstimate.h"
+
 namespace sycamorepost {
 
 using internal::RequestState;
@@ -24,6 +26,12 @@
 // unless the store is down: measured 110 to 300 ms with 26 entries that start together.
 constexpr Duration kStartPeriod = std::chrono::milliseconds(500);
 
+// Entries that start together have heard each other's first load reports within this time.
+constexpr Duration kSettlingPeriod = std::chrono::seconds(1);
+
+// The longest wait for them: two reports of other failure domains.
+constexpr Duration kMaxReportWait = std::chrono::milliseconds(500);
+
 constexpr const char* kNoConfiguration = "no configuration is known yet";
 
 } // namespace
@@ -54,9 +62,34 @@
   }
   aState.service = this->PickService(*aState.route);
   this->BudgetOf(aState.service).RecordRequest();
+  if (this->WaitsForReports(aState)) {
+    const auto wait =
+      std::uniform_int_distribution<std::int64_t>(0, kMaxReportWait.count())(this->random);
+    aState.startAt = this->now + Duration(wait);
+    this->SetWake(aState);
+    return;
+  }
   this->Launch(aState);
 }
 
+// Returns whether a prompt waits because this entry has just started and has not heard most of its
+// neighbours. When all entries restart together, they get their callers back at the same moment,
+// and long prompts that they place without knowing of each other stop the streams of the engines
+// that several of them have chosen. The objective of a long prompt has room for the wait.
+bool
+ForwardReducer::Impl::WaitsForReports(const RequestState& aState) const
+{
+  const std::size_t neighbours = this->group.Neighbours().size();
+  const bool hearsMost = this->peers.size() * 2 >= neighbours;
+  if (hearsMost || this->now >= *this->startedAt + kSettlingPeriod) {
+    return false;
+  }
+  const ServiceTraits* service = aState.table->FindService(aState.service);
+  return service && service->engine &&
+         FromMs(EstimatePrefillMs(*service->engine, aState.request.promptTokens)) >
+           internal::kLongPrefill;
+}
+
 // Returns whether the first configuration and registrations are about to arrive. When all entries
 // restart together, callers are back before these are read: refused, they would return only after
 // the Retry-After.
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -7,6 +7,7 @@
 namespace sycamorepost {
 
 using internal::Attempt;
+using internal::kLongPrefill;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
 using internal::RequestState;
@@ -35,10 +36,8 @@
 // A plain call may take 1/kPlainCallDivisor of the remaining time before another target is tried.
 constexpr int kPlainCallDivisor = 3;
 
-// A prompt whose first event is predicted to take longer than kLongPrefill is not prefilled again
-// because its attempt stalls, unless the gap exceeds kLongPrefillStallObjectives
-// objectives: a connection to a lost VM fails by itself.
-constexpr Duration kLongPrefill = std::chrono::milliseconds(150);
+// A long prompt is not prefilled again because its attempt stalls, unless the gap exceeds
+// this many objectives: a connection to a lost VM fails by itself.
 constexpr int kLongPrefillStallObjectives = 2;
 
 // The fraction of its objective that a caller may be predicted to wait; the rest covers the
--- a/test/ForwardReducerTest.cpp
+++ b/test/ForwardReducerTest.cpp
@@ -219,6 +219,7 @@
   CPPUNIT_TEST_SUITE(ForwardReducerTest);
   CPPUNIT_TEST(UnknownRoutesAndKeysAreRefused);
   CPPUNIT_TEST(RequestsOfTheFirstMomentsAwaitTheConfiguration);
+  CPPUNIT_TEST(LongPromptsOfTheFirstMomentsAwaitLoadReports);
   CPPUNIT_TEST(NonIdempotentCallRunsAtMostOnce);
   CPPUNIT_TEST(IdempotentCallIsRetriedOnAnotherTarget);
   CPPUNIT_TEST(StreamResumesAfterLastCompleteEvent);
@@ -321,6 +322,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), unconfigured.reducer.InFlight());
   }
 
+  // Load pattern: as above, with long prompts among the callers. Guards against entries that place
+  // them at the same moment without knowing of each other.
+  void LongPromptsOfTheFirstMomentsAwaitLoadReports()
+  {
+    const std::map<std::string, RegisteredEntry> entries{ { "entry-1", { "", "hobart" } },
+                                                          { "entry-2", { "peer-2", "hobart" } },
+                                                          { "entry-3", { "peer-3", "hobart" } } };
+    std::set<Duration> waits;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      ForwardReducerDriver driver(4, seed);
+      driver.Step(EntriesChanged{ entries });
+      driver.SendRequest("/draft/", 5000);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), driver.starts.size());
+      driver.SendRequest("/sift/", 100'000);
+      Duration wait{};
+      for (; driver.starts.size() == 1 && wait <= milliseconds(500); wait += milliseconds(10)) {
+        driver.AdvanceTime(milliseconds(10));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), driver.starts.size());
+      waits.insert(wait);
+    }
+    CPPUNIT_ASSERT(waits.size() >= 4);
+
+    // An entry that hears its neighbours, or is not new, does not wait.
+    ForwardReducerDriver hearing;
+    hearing.Step(EntriesChanged{ entries });
+    hearing.Step(PeerLoadReport{ "peer-2", 1, {}, true });
+    hearing.SendRequest("/sift/", 100'000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), hearing.starts.size());
+    ForwardReducerDriver settled;
+    settled.Step(EntriesChanged{ entries });
+    settled.AdvanceTime(std::chrono::seconds(1));
+    settled.SendRequest("/sift/", 100'000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), settled.starts.size());
+  }
+
   void NonIdempotentCallRunsAtMostOnce()
   {
     // No byte was sent to an unreachable target, so the call is retried on another one.
