Decode what the platform says about cold targets

Cause: a target states in its registration and its responses how much longer it is cold, and the configuration names the rate that a cold one bears. Both were ignored.

Neighbours get ColdRemainingMs with the registrations that they share. Each registration of a cold target differs, so the directory passes these changes on without an event for the log.

--- a/include/sycamorepost/forward/admission/RouteTable.h
+++ b/include/sycamorepost/forward/admission/RouteTable.h
@@ -78,6 +78,8 @@
   std::string name;
   std::uint32_t maxConnections = 0;   // Accepted by a target from all callers together.
   std::optional<EngineTraits> engine; // Empty for a plain service.
+  Duration coldStart{};               // How long a target is cold after its start.
+  double coldPerSecond = 0;           // Requests that a cold target bears; 0 for no limit.
 };
 
 // The limits on what a caller may send.
--- a/include/sycamorepost/forward/targets/TargetDirectory.h
+++ b/include/sycamorepost/forward/targets/TargetDirectory.h
@@ -23,6 +23,8 @@
   std::uint32_t slots = 1;
   bool draining = false;
   std::int64_t startedAtMs = 0; // Unix time of its start; 0 when not given.
+  // Milliseconds for which it remains cold, as of the registration; negative when not given.
+  std::int64_t coldRemainingMs = -1;
 
   bool operator==(const RegisteredTarget&) const = default;
 };
--- a/include/sycamorepost/forward/targets/TargetNotices.h
+++ b/include/sycamorepost/forward/targets/TargetNotices.h
@@ -1,5 +1,5 @@
-// What targets announce in their responses: that they are leaving, or that they want no work for a
-// while.
+// What targets announce in their responses: that they are leaving, that they want no work for a
+// while, or that they are cold.
 #ifndef SYCAMOREPOST_FORWARD_TARGETS_TARGET_NOTICES_H_
 #define SYCAMOREPOST_FORWARD_TARGETS_TARGET_NOTICES_H_
 
@@ -18,6 +18,7 @@
 {
   bool isLeaving = false;        // The target is about to end and wants no new work.
   std::optional<Duration> pause; // It wants nothing from this entry for so long.
+  Duration coldRemaining{};      // How much longer it is cold; 0 when not given. See ColdShares.
 };
 
 // Remembers announcements by the incarnation of a target. An announcement outlives the target's
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -162,7 +162,8 @@
                   domain,
                   slots,
                   draining,
-                  startedAtMs)
+                  startedAtMs,
+                  coldRemainingMs)
 SYCAMOREPOST_WIRE(RegistrationReport, fromOffset, nextOffset, digest, changed, removed, servedForMs)
 SYCAMOREPOST_WIRE(StoreReport,
                   configurationAgeMs,
--- a/src/core/forward/targets/TargetDirectory.cpp
+++ b/src/core/forward/targets/TargetDirectory.cpp
@@ -30,7 +30,9 @@
   const bool wasKept = this->lapsedExpiry.erase(aTarget.instance) > 0;
   const auto [known, isNew] = this->targets.try_emplace(aTarget.instance, aTarget);
   const bool isChanged = !isNew && known->second != aTarget;
-  if (isNew || isChanged || wasKept) {
+  RegisteredTarget before = known->second;
+  before.coldRemainingMs = aTarget.coldRemainingMs; // Each registration of a cold target differs.
+  if (isNew || before != aTarget || wasKept) {
     this->events.push_back({ aTarget.instance,
                              isNew     ? DirectoryChange::Added
                              : wasKept ? DirectoryChange::Renewed
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -279,6 +279,8 @@
   forward.ReadInteger("log_sample", settings.logSample, 1, kMaxSample);
   forward.ReadNumber("retry_ratio", settings.retryRatio);
   forward.ReadNumber("retry_slack", settings.retrySlack);
+  forward.ReadNumber("cold_overage", settings.coldOverage);
+  forward.ReadNumber("cold_slack", settings.coldSlack);
   forward.ReadDuration("reservation_lease", settings.reservationLease);
   forward.ReadDuration("leave_bound", settings.targetDrainTimeout);
   forward.ReadDuration("change_bound", settings.changeBound);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -51,6 +51,8 @@
   std::uint32_t logSample = 64; // One request in this many is logged even if it succeeds.
   double retryRatio = 0.2;      // See ForwardConfig.
   double retrySlack = 20;       // See ForwardConfig.
+  double coldOverage = 1.5;     // See ColdBound.
+  double coldSlack = 5;         // See ColdBound.
   Duration reservationLease = std::chrono::seconds(3); // See ForwardConfig.
   Duration targetDrainTimeout =
     std::chrono::seconds(2); // By when a draining target must get no new attempts.
