Limit what all entries together send to a cold target

Cause: an entry knew nothing of cold targets, so it sent them what its load model allowed. A domain that returns at once has only cold ones, which crash at a rate well above ColdPerS.

Change: ColdShares knows until when each target is cold, and divides ColdPerS x cold_overage + cold_slack among the registered entries by a token bucket each. With more entries than the bound has requests, as many entries as it has hold the shares of a target, in an order that depends on the target, so that no share is below one request. An entry uses shares once the others have had the time to read its registration, and counts another one for as long after its end. Placement prefers warm targets, gives cold ones no part of a split prompt and no reservation, and rules out those whose share is spent; callers are refused with the time of the next share when nothing else is left.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -17,6 +17,7 @@
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
 #include "sycamorepost/forward/sharing/EntryGroup.h"
+#include "sycamorepost/forward/targets/ColdShares.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/PartQuarantine.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
@@ -117,6 +118,8 @@
 struct TargetsChanged
 {
   std::map<std::string, RegisteredTarget> targets;
+  std::optional<Instant> readAt; // When the registrations were read; empty for now.
+  std::int64_t unixMs = 0;       // See RegistrationReading.
 };
 
 // Another entry reports which failure domains are evacuated; a read of the store is an
@@ -386,6 +389,8 @@
   Duration reservationLease = std::chrono::seconds(3);
   // The time within which a new version of the configuration must be in force.
   Duration changeBound = std::chrono::seconds(2);
+  // Requests that all entries together may send to a cold target.
+  ColdBound coldBound;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/targets/ColdShares.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 #include "sycamorepost/forward/targets/TargetNotices.h"
@@ -32,6 +33,7 @@
   std::set<std::string> triedInstances;        // Instances that must not be used again.
   const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
   const EvacuatedDomains* evacuated = nullptr; // May be null.
+  const ColdShares* coldShares = nullptr;      // May be null.
   std::string domain;                          // The failure domain of the entry.
   bool hearsNeighbours = true; // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
@@ -46,14 +48,16 @@
   None,
   OtherService,
   Draining,
-  Evacuated,   // Its failure domain is.
-  Tried,       // The request has used it already.
-  WantsNoWork, // It has announced that it is leaving, or that it wants no work for a while.
-  Avoided,     // It has just failed. Used if no other target is left.
+  Evacuated,      // Its failure domain is.
+  Tried,          // The request has used it already.
+  WantsNoWork,    // It has announced that it is leaving, or that it wants no work for a while.
+  ColdShareSpent, // It is cold, and this entry has sent it what it may.
+  Avoided,        // It has just failed. Used if no other target is left.
 };
 
-inline constexpr std::array<const char*, 7> kExclusionNames{
-  "none", "other service", "draining", "evacuated", "tried", "wants no work", "avoided"
+inline constexpr std::array<const char*, 8> kExclusionNames{
+  "none",  "other service", "draining",         "evacuated",
+  "tried", "wants no work", "cold share spent", "avoided"
 };
 
 // Returns why a target must not get a request; the first reason, if there are several.
@@ -75,10 +79,11 @@
 enum class PlacementStatus
 {
   Placed,
-  NoTarget, // No usable target is registered.
-  Full,     // No combination of engines has enough free memory.
-  TooLarge, // The prompt exceeds the memory of all engines together.
-  Paused,   // All targets want no work for a while.
+  NoTarget,        // No usable target is registered.
+  Full,            // No combination of engines has enough free memory.
+  TooLarge,        // The prompt exceeds the memory of all engines together.
+  Paused,          // All targets want no work for a while.
+  ColdSharesSpent, // The targets that want work are cold, and this entry has sent them what it may.
 };
 
 // The chosen target with its helpers, and the predicted times.
@@ -89,7 +94,7 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PlacedWork> placedWork; // The load that it adds, by target.
   double firstEventMs = 0;            // Predicted time to the first event; 0 for a plain call.
-  double waitMs = 0;                  // When full or paused: time until there is capacity.
+  double waitMs = 0;                  // When not placed: time until it may be, if that is known.
 };
 
 // Chooses the target and the helpers of one request. Returns a status other than Placed when there
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -254,6 +254,10 @@
   void RecordAbort(const internal::RequestState& aState);
   void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
   bool IsUsable(const std::string& aInstance) const;
+  void RecordRegistrations(const TargetsChanged& aChanged);
+  void RecordColdness(const RegisteredTarget& aTarget, Duration aRemaining);
+  void LogCold(const std::string& aInstance, const char* aSource);
+  nlohmann::json DumpCold(Instant aNow) const;
   void AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer);
   void LogEvacuations(const std::set<std::string>& aBefore, const std::string& aSource);
   std::uint32_t AbortCount(std::uint64_t aFingerprint);
@@ -272,6 +276,7 @@
   LoadTracker loadTracker;
   TargetNotices notices;
   EvacuatedDomains evacuated;
+  ColdShares coldShares;
   ConfigurationFetcher fetcher;
   EntryGroup group;
   struct KnownPeer
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -46,6 +46,7 @@
 
 ForwardReducer::Impl::Impl(ForwardConfig aConfig)
   : config(std::move(aConfig))
+  , coldShares(config.address, config.coldBound)
   , fetcher(config.changeBound, config.seed)
   , group(config.address, config.domain)
   , random(config.seed)
@@ -84,6 +85,7 @@
     }
   }
   this->targets = aChanged.targets;
+  this->RecordRegistrations(aChanged);
   this->BeginHeldRequests();
 }
 
@@ -92,6 +94,11 @@
 {
   const bool knewNobody = this->group.AllPeers().empty();
   this->group.SetEntries(aChanged.entries);
+  std::set<std::string> addresses;
+  for (const auto& [name, entry] : aChanged.entries) {
+    addresses.insert(entry.address);
+  }
+  this->coldShares.SetEntries(addresses, this->now);
   if (knewNobody) {
     this->RequestQuarantined();
   }
@@ -125,6 +132,7 @@
     this->ShareQuarantined({ aReport.peer }, true);
   }
   this->peers[aReport.peer] = { aReport.incarnation, this->now };
+  this->coldShares.RecordEntryHeard(aReport.peer, this->now);
   if (aReport.isSnapshot || isNew) {
     this->loadTracker.RemovePeer(aReport.peer);
   }
@@ -137,6 +145,9 @@
 ForwardReducer::Impl::OnEvent(const DomainLoadReport& aReport)
 {
   if (!this->group.IsOtherDomain(aReport.domain)) {
+    if (aReport.domain != this->config.domain) {
+      this->coldShares.RecordUnlistedEntries(aReport.domain, aReport.entries, this->now);
+    }
     this->Count("forward_peer_reports_ignored", "domain");
     return;
   }
@@ -149,9 +160,10 @@
   const std::string peer = kDomainPrefix + aReport.domain;
   this->loadTracker.RemovePeer(peer);
   this->loadTracker.ApplyReport(peer, aReport.loads, this->now);
-  const std::size_t entries =
-    std::min<std::size_t>(aReport.entries, this->group.CountOf(aReport.domain));
+  const std::size_t registered = this->group.CountOf(aReport.domain);
+  const std::size_t entries = std::min<std::size_t>(aReport.entries, registered);
   this->domains[aReport.domain] = { entries, this->now };
+  this->coldShares.RecordUnlistedEntries(aReport.domain, aReport.entries - entries, this->now);
   // The others get it from a neighbour, so that a version crosses failure domains once at the most.
   if (this->DomainRank(this->now) == 0) {
     this->RecordPeerVersion(aReport.reporter, aReport.configurationVersion);
@@ -278,6 +290,7 @@
     this->housekeepingAt = this->now + kHousekeepingInterval;
     this->RemoveUnresponsivePeers();
     this->notices.Expire(this->targets, this->now);
+    this->coldShares.Expire(this->targets, this->now);
     std::erase_if(this->aborts,
                   [this](const auto& aAbort) { return aAbort.second.expiresAt < this->now; });
     this->quarantine.Expire(this->now);
@@ -451,6 +464,9 @@
         BroadcastLeaving{ instance, aTarget.startedAtMs, this->AllPeers() });
     }
   }
+  if (aAnnouncement.coldRemaining > Duration::zero()) {
+    this->RecordColdness(aTarget, aAnnouncement.coldRemaining);
+  }
   if (aAnnouncement.pause) {
     this->Count("forward_target_pauses", "");
     this->effects.emplace_back(LogDecision{
@@ -467,7 +483,8 @@
   const auto found = this->targets.find(aInstance);
   return found != this->targets.end() && !found->second.draining &&
          !this->evacuated.Contains(found->second.domain) &&
-         this->notices.MayReceive(found->second, this->now);
+         this->notices.MayReceive(found->second, this->now) &&
+         this->coldShares.MaySend(aInstance, this->now);
 }
 
 void
@@ -532,6 +549,7 @@
   dump["configuration"] = this->table ? this->table->version : 0;
   dump["evacuated"] = { { "domains", this->evacuated.View().domains },
                         { "as_of_offset", this->evacuated.View().offset } };
+  dump["cold_shares"] = this->DumpCold(aNow);
   for (const auto& [instance, target] : this->targets) {
     const TargetLoad load = this->loadTracker.LoadOf(instance, aNow);
     dump["targets"][instance] = { { "service", target.service },
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -84,6 +84,10 @@
 // domain may have free, and outlasts the delay.
 constexpr double kRemoteShortPromptMs = 100;
 
+// Cost of a cold target, in calls across failure domains: a warm target of another domain is
+// preferred unless it is clearly busier, so that a domain that returns takes load gradually.
+constexpr double kColdRemoteCalls = 2;
+
 // Cost of failed exchanges, in milliseconds of waiting per unit of the failure rate: one failed
 // exchange in two costs about a second attempt.
 constexpr double kFailureRateMs = 600;
@@ -103,30 +107,40 @@
     if (usable) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
       candidate.prefillMs = candidate.load.PrefillMs(aNow);
+      candidate.isCold = aRequest.coldShares && aRequest.coldShares->IsCold(instance, aNow);
       candidates.push_back(candidate);
     }
   }
   return candidates;
 }
 
-// Returns a placement without a target. When all usable targets want no work for a while, its
-// status is Paused, and its wait ends with the first pause.
+// Returns a placement without a target. When all usable targets want no work for a while, or may
+// not get it as they are cold, its wait ends when the first of them may be used.
 Placement
 MakeUnplaced(const PlacementRequest& aRequest,
              const std::map<std::string, RegisteredTarget>& aTargets,
              Instant aNow)
 {
   Instant firstEnd = Instant::max();
+  bool endsPause = false;
   for (const auto& [instance, target] : aTargets) {
-    if (aRequest.notices && target.service == aRequest.service->name && !target.draining &&
-        !(aRequest.evacuated && aRequest.evacuated->Contains(target.domain)) &&
-        !aRequest.notices->IsLeaving(target)) {
-      firstEnd = std::min(firstEnd, aRequest.notices->PausedUntil(target));
+    if (target.service != aRequest.service->name || target.draining ||
+        (aRequest.evacuated && aRequest.evacuated->Contains(target.domain)) ||
+        (aRequest.notices && aRequest.notices->IsLeaving(target))) {
+      continue;
+    }
+    const Instant pausedUntil =
+      aRequest.notices ? aRequest.notices->PausedUntil(target) : Instant();
+    const Instant shareAt =
+      aRequest.coldShares ? aRequest.coldShares->NextSendAt(instance, aNow) : Instant();
+    if (std::max(pausedUntil, shareAt) < firstEnd) {
+      firstEnd = std::max(pausedUntil, shareAt);
+      endsPause = pausedUntil >= shareAt;
     }
   }
   Placement placement;
   if (firstEnd != Instant::max() && firstEnd > aNow) {
-    placement.status = PlacementStatus::Paused;
+    placement.status = endsPause ? PlacementStatus::Paused : PlacementStatus::ColdSharesSpent;
     placement.waitMs = ToMs(firstEnd - aNow);
   }
   return placement;
@@ -139,7 +153,9 @@
            const LoadTracker& aLoadTracker)
 {
   const double distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
-  return distance + aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
+  const double coldness = aCandidate.isCold ? kColdRemoteCalls * aRemoteMs : 0;
+  return distance + coldness +
+         aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
 }
 
 void
@@ -358,6 +374,19 @@
   std::rotate(aSorted.begin(), aSorted.begin() + pick, aSorted.begin() + pick + 1);
 }
 
+// A cold target gets no part of a prompt whose other parts wait for it, and so neither calls of
+// another engine nor reservations. It decodes a long prompt only if no target is warm.
+void
+KeepWarmParts(bool aIsShort, std::vector<Candidate>& aSorted)
+{
+  const bool isOneWarm = std::any_of(
+    aSorted.begin(), aSorted.end(), [](const Candidate& aCandidate) { return !aCandidate.isCold; });
+  const bool keepsFirst = aIsShort || !isOneWarm;
+  const auto isCold = [](const Candidate& aCandidate) { return aCandidate.isCold; };
+  aSorted.erase(std::remove_if(aSorted.begin() + (keepsFirst ? 1 : 0), aSorted.end(), isCold),
+                aSorted.end());
+}
+
 Placement
 PlacePrompt(const PlacementRequest& aRequest,
             std::vector<Candidate> aCandidates,
@@ -378,12 +407,15 @@
                                   RelaxedWeight(candidate) * kRelaxedWeightMs);
   }
   SortByCost(aCandidates, aRandom);
+  const std::size_t allCount = aCandidates.size();
   if (isShort) {
     const bool isLocal = aCandidates.front().target->domain == aRequest.domain;
     SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
                  aCandidates,
                  aRandom);
+    KeepWarmParts(true, aCandidates);
   } else {
+    KeepWarmParts(false, aCandidates);
     MoveDecoderFirst(aCandidates, traits);
   }
   const std::uint64_t need = std::uint64_t{ aRequest.promptTokens } + aRequest.outputTokens;
@@ -401,7 +433,8 @@
     }
   }
   const double plannedTokens =
-    kPlannedMemoryShare * static_cast<double>(traits.kvCapacityTokens * maxParts);
+    kPlannedMemoryShare *
+    static_cast<double>(traits.kvCapacityTokens * std::min(allCount, kMaxHelpers + 1));
   placement.status =
     static_cast<double>(need) > plannedTokens ? PlacementStatus::TooLarge : PlacementStatus::Full;
   return placement;
@@ -430,6 +463,9 @@
   if (aRequest.notices && !aRequest.notices->MayReceive(aTarget, aNow)) {
     return Exclusion::WantsNoWork;
   }
+  if (aRequest.coldShares && !aRequest.coldShares->MaySend(aTarget.instance, aNow)) {
+    return Exclusion::ColdShareSpent;
+  }
   return aLoadTracker.IsAvoided(aTarget.instance, aNow) ? Exclusion::Avoided : Exclusion::None;
 }
 
--- a/src/core/forward/placement/PlacementMemory.h
+++ b/src/core/forward/placement/PlacementMemory.h
@@ -21,6 +21,7 @@
   double prefillMs = 0; // Remaining prefill time there.
   double waitMs = 0;    // Predicted time until it starts a new prefill.
   double cost = 0;
+  bool isCold = false;
 };
 
 // Distributes the KV cache of a prompt, in tokens, over the chosen engines, with reservations on
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -72,11 +72,17 @@
   Placement placement =
     ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
   if (placement.status != PlacementStatus::Placed) {
-    static constexpr std::array<const char*, 5> kReasons{ "",
-                                                          "no target is known",
-                                                          "all engines' memory is taken",
-                                                          "the prompt is larger than all engines",
-                                                          "all targets want no work for a while" };
+    static constexpr std::array<const char*, 6> kReasons{
+      "",
+      "no target is known",
+      "all engines' memory is taken",
+      "the prompt is larger than all engines",
+      "all targets want no work for a while",
+      "the targets are cold and get no more requests now"
+    };
+    if (placement.status == PlacementStatus::ColdSharesSpent) {
+      this->Count("forward_cold_shares", "spent");
+    }
     aState.retryAfterHint = FromMs(placement.waitMs);
     aState.isRetryAfterRequested = placement.status == PlacementStatus::Paused;
     this->FailRequest(aState, kReasons.at(static_cast<std::size_t>(placement.status)));
@@ -110,6 +116,7 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.evacuated = &this->evacuated;
+  request.coldShares = &this->coldShares;
   request.domain = this->config.domain;
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
@@ -207,6 +214,9 @@
   if (isLong) {
     this->ReportDomainLoad();
   }
+  if (this->coldShares.RecordSent(start.instance, this->now)) {
+    this->Count("forward_cold_shares", "used");
+  }
   attempt.placement = std::move(aPlacement);
   this->attemptOwner[attempt.id] = aState.request.handle;
   aState.attempt = std::move(attempt);
--- a/src/core/forward/request/ForwardReservations.cpp
+++ b/src/core/forward/request/ForwardReservations.cpp
@@ -136,10 +136,12 @@
     std::all_of(all.begin(), all.end(), [](const HelperReservation& aOne) { return aOne.granted; });
   Placement placement = std::move(*aState.pendingPlacement);
   aState.pendingPlacement.reset();
-  const bool isUsable =
-    std::all_of(placement.placedWork.begin(),
-                placement.placedWork.end(),
-                [this](const PlacedWork& aWork) { return this->IsUsable(aWork.instance); });
+  const std::string& decoder = placement.target.instance;
+  const bool isUsable = std::all_of(
+    placement.placedWork.begin(), placement.placedWork.end(), [&](const PlacedWork& aWork) {
+      const bool mayHelp = !this->coldShares.IsCold(aWork.instance, this->now);
+      return this->IsUsable(aWork.instance) && (mayHelp || aWork.instance == decoder);
+    });
   if (granted && isUsable) {
     if (this->MayRun(aState)) {
       this->StartPlaced(aState, std::move(placement));
--- a/src/core/forward/sharing/ForwardConfiguration.cpp
+++ b/src/core/forward/sharing/ForwardConfiguration.cpp
@@ -12,6 +12,7 @@
     return;
   }
   this->table = aChanged.table;
+  this->coldShares.SetServices(this->table->services, this->now);
   this->fetcher.RecordApplied(this->table->version, this->now);
   this->broadcastAt = this->now; // Neighbours learn of the version from the load report.
   this->BeginHeldRequests();
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -60,7 +60,8 @@
                            .retryRatio = this->settings.retryRatio,
                            .retrySlack = this->settings.retrySlack,
                            .reservationLease = this->settings.reservationLease,
-                           .changeBound = this->settings.changeBound })
+                           .changeBound = this->settings.changeBound,
+                           .coldBound = { this->settings.coldOverage, this->settings.coldSlack } })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -78,9 +79,10 @@
              { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
                 this->OnRoutes(aTable, aText);
               },
-               [this](const std::map<std::string, RegisteredTarget>& aTargets) {
+               [this](const std::map<std::string, RegisteredTarget>& aTargets, Instant aReadAt) {
                  LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
-                 this->Step(TargetsChanged{ aTargets });
+                 const std::int64_t unixMs = UnixMs() - ToMillis(Now() - aReadAt);
+                 this->Step(TargetsChanged{ aTargets, aReadAt, unixMs });
                },
                [this](const std::map<std::string, RegisteredEntry>& aEntries) {
                  this->OnEntries(aEntries);
