Simulate the return of a failure domain with cold engines

Cause: the shares were only tested by themselves, not with the placement and the load reports of real reducers, and nothing showed how fast and how smoothly a returned domain takes its load.

Change: the simulation of coordination lets the engines of one domain register as cold at an instant, and each entry read that within 0.9 s. It prints when the domain has 90 % of its final share, and the most prompts to a cold engine in a second.

--- a/test/coordination/main.cpp
+++ b/test/coordination/main.cpp
@@ -21,6 +21,9 @@
 DEFINE_uint32(stream_ms, 2'000, "Duration of a stream after its first event.");
 DEFINE_uint32(seconds, 10, "Simulated time.");
 DEFINE_uint64(seed, 1, "Seed of the arrivals and of the reducers.");
+DEFINE_double(return_s, 0, "When the engines of the first domain return, all cold; 0: never away.");
+DEFINE_double(cold_per_s, 32, "Requests that a cold engine bears a second; 0 for no limit.");
+DEFINE_uint32(max_cold, 0, "Fail when a cold engine gets more requests in a second; 0: no limit.");
 DEFINE_double(max_messages, 0, "Fail when an entry sends more messages a second; 0 for no limit.");
 DEFINE_double(max_late, 1, "Fail when a larger share of the prompts is late or refused.");
 
@@ -36,6 +39,13 @@
 constexpr milliseconds kDelayBetweenDomains{ 5 };
 constexpr Instant kStart{ std::chrono::hours(1) };
 
+// How long engines are cold after their return, how much longer they take meanwhile, and how often
+// they register. Each entry reads a registration within kMaxReadDelay.
+constexpr std::chrono::seconds kCold{ 3 };
+constexpr double kColdSlowness = 3;
+constexpr std::chrono::seconds kHeartbeat{ 1 };
+constexpr milliseconds kMaxReadDelay{ 900 };
+
 // The first seconds, in which the entries get to know each other, are not measured.
 constexpr std::chrono::seconds kWarmUp{ 2 };
 
@@ -68,7 +78,7 @@
   auto table = std::make_shared<RouteTable>();
   table->version = 1;
   table->AddRoute(route);
-  table->services[kService] = { kService, 0, MakeTraits() };
+  table->services[kService] = { kService, 0, MakeTraits(), kCold, FLAGS_cold_per_s };
   return table;
 }
 
@@ -76,6 +86,7 @@
 {
   Instant prefillsUntil;
   std::uint32_t running = 0;
+  std::vector<Instant> startedAt; // When requests were sent to it.
 };
 
 struct Entry
@@ -120,15 +131,7 @@
       this->indexByAddress[entry.address] = i;
       this->entries.push_back(std::move(entry));
     }
-    std::map<std::string, RegisteredTarget> targets;
-    for (std::uint32_t i = 0; i < FLAGS_engines; ++i) {
-      const std::string instance = "engine-" + std::to_string(i);
-      targets[instance] = { .instance = instance,
-                            .service = kService,
-                            .address = instance,
-                            .domain = this->DomainOf(i),
-                            .slots = MakeTraits().slots };
-    }
+    const std::map<std::string, RegisteredTarget> targets = this->RegisteredAt(this->now);
     for (std::uint32_t i = 0; i < FLAGS_entries; ++i) {
       this->Step(i, RoutesChanged{ MakeTable() });
       this->Step(i, TargetsChanged{ targets });
@@ -136,6 +139,7 @@
       this->Step(i, Wake{});
       this->ScheduleArrival(i);
     }
+    this->ScheduleReturn();
   }
 
   // Runs to the end and prints the results. Returns whether they are within the limits.
@@ -169,6 +173,49 @@
     return "domain-" + std::to_string(aIndex % std::max(1U, FLAGS_domains));
   }
 
+  bool Returns(std::uint32_t aEngine) const
+  {
+    return FLAGS_return_s > 0 && this->DomainOf(aEngine) == this->DomainOf(0);
+  }
+
+  // Returns what the store lists at an instant.
+  std::map<std::string, RegisteredTarget> RegisteredAt(Instant aAt) const
+  {
+    std::map<std::string, RegisteredTarget> targets;
+    for (std::uint32_t i = 0; i < FLAGS_engines; ++i) {
+      const std::string instance = "engine-" + std::to_string(i);
+      const Duration coldFor = this->returnsAt + kCold - aAt;
+      if (!this->Returns(i) || aAt >= this->returnsAt) {
+        targets[instance] = { .instance = instance,
+                              .service = kService,
+                              .address = instance,
+                              .domain = this->DomainOf(i),
+                              .slots = MakeTraits().slots,
+                              .coldRemainingMs = this->Returns(i)
+                                                   ? std::max<std::int64_t>(0, ToMillis(coldFor))
+                                                   : 0 };
+      }
+    }
+    return targets;
+  }
+
+  // Each entry reads the registrations of the returned engines within its interval.
+  void ScheduleReturn()
+  {
+    if (FLAGS_return_s <= 0) {
+      return;
+    }
+    for (std::uint32_t i = 0; i < FLAGS_entries; ++i) {
+      const Duration delay(this->random() % Duration(kMaxReadDelay).count());
+      for (Duration sinceReturn{}; sinceReturn <= kCold; sinceReturn += kHeartbeat) {
+        const Instant registeredAt = this->returnsAt + sinceReturn;
+        this->At(registeredAt + delay, [this, i, registeredAt] {
+          this->Step(i, TargetsChanged{ this->RegisteredAt(registeredAt) });
+        });
+      }
+    }
+  }
+
   bool IsMeasured() const { return this->now >= kStart + kWarmUp; }
 
   void At(Instant aAt, std::function<void()> aAction)
@@ -259,7 +306,10 @@
       shortest = std::min(shortest, this->WaitOf(other));
     }
     const EngineTraits traits = MakeTraits();
-    const double prefillMs = EstimatePrefillMs(traits, FLAGS_tokens);
+    engine.startedAt.push_back(this->now);
+    const bool isCold =
+      this->Returns(std::stoul(aStart.instance.substr(7))) && this->now < this->returnsAt + kCold;
+    const double prefillMs = EstimatePrefillMs(traits, FLAGS_tokens) * (isCold ? kColdSlowness : 1);
     const double passMs = EstimatePassMs(traits, engine.running, engine.running * FLAGS_tokens);
     if (this->IsMeasured()) {
       this->counts.nearBest += this->WaitOf(engine) <= shortest + kNear ? 1 : 0;
@@ -350,14 +400,76 @@
                 quantile(0.5),
                 quantile(0.99),
                 100 * lateShare);
-    const bool isWithin =
-      (FLAGS_max_messages <= 0 || highest <= FLAGS_max_messages) && lateShare <= FLAGS_max_late;
+    const bool isBoundKept = FLAGS_return_s <= 0 || this->ReportReturn();
+    const bool isWithin = isBoundKept &&
+                          (FLAGS_max_messages <= 0 || highest <= FLAGS_max_messages) &&
+                          lateShare <= FLAGS_max_late;
     if (!isWithin) {
       std::printf("a limit is exceeded\n");
     }
     return isWithin;
   }
 
+  // Returns the requests in an interval that were sent to returned engines, and to all.
+  std::pair<double, double> SentIn(Instant aFrom, Instant aTo) const
+  {
+    double returned = 0;
+    double all = 0;
+    for (std::uint32_t i = 0; i < FLAGS_engines; ++i) {
+      const auto& times = this->engines[i].startedAt;
+      const auto count = static_cast<double>(std::lower_bound(times.begin(), times.end(), aTo) -
+                                             std::lower_bound(times.begin(), times.end(), aFrom));
+      returned += this->Returns(i) ? count : 0;
+      all += count;
+    }
+    return { returned, all };
+  }
+
+  // Returns the most requests that one of the engines got within a window that begins in an
+  // interval.
+  std::size_t MostIn(bool aReturned, Instant aFrom, Instant aTo, Duration aWindow) const
+  {
+    std::ptrdiff_t most = 0;
+    for (std::uint32_t i = 0; i < FLAGS_engines; ++i) {
+      const auto& times = this->engines[i].startedAt;
+      const auto end = std::lower_bound(times.begin(), times.end(), aTo);
+      for (auto first = std::lower_bound(times.begin(), times.end(), aFrom);
+           this->Returns(i) == aReturned && first < end;
+           ++first) {
+        const auto last = std::upper_bound(first, end, *first + aWindow);
+        most = std::max(most, last - first);
+      }
+    }
+    return static_cast<std::size_t>(most);
+  }
+
+  // Prints how the returned domain took its load. Returns whether the bound of cold engines held.
+  bool ReportReturn() const
+  {
+    static constexpr milliseconds kStep{ 100 };
+    static constexpr milliseconds kAveraged{ 500 };
+    const Instant end = kStart + kWarmUp + std::chrono::seconds(FLAGS_seconds);
+    const auto [finalReturned, finalAll] = this->SentIn(end - std::chrono::seconds(2), end);
+    const double finalShare = finalReturned / std::max(1.0, finalAll);
+    Instant reachedAt = this->returnsAt + kAveraged;
+    for (; reachedAt < end; reachedAt += kStep) {
+      const auto [returned, all] = this->SentIn(reachedAt - kAveraged, reachedAt);
+      if (returned >= 0.9 * finalShare * all) {
+        break;
+      }
+    }
+    const std::size_t mostCold =
+      this->MostIn(true, this->returnsAt, this->returnsAt + kCold, std::chrono::seconds(1));
+    std::printf("returned domain: final share of the prompts %.1f %%, 90 %% of it after %lld ms\n",
+                100 * finalShare,
+                static_cast<long long>(ToMillis(reachedAt - this->returnsAt)));
+    std::printf("most prompts to a cold engine in a second: %zu\n", mostCold);
+    std::printf("most prompts to one engine in 100 ms: returned %zu, others before %zu\n",
+                this->MostIn(true, this->returnsAt, end, kStep),
+                this->MostIn(false, kStart + kWarmUp, this->returnsAt, kStep));
+    return FLAGS_max_cold == 0 || mostCold <= FLAGS_max_cold;
+  }
+
   // The failure domains of the network, whatever the entries are told.
   static constexpr std::uint32_t kRealDomains = 5;
 
@@ -368,6 +480,7 @@
   std::priority_queue<Event> events;
   std::mt19937_64 random;
   Instant now = kStart;
+  const Instant returnsAt = kStart + kWarmUp + FromMs(FLAGS_return_s * 1000);
   std::uint64_t sequence = 0;
   std::uint64_t lastHandle = 0;
   Counts counts;
