Cold targets: skip the look-up while none is cold, and believe plausible starts

Cause: each placement looked every target up in the shares, cold or not; and a registration with an absurd start could overflow the computation of its age.

Change: ColdShares keeps the instant from which no target is known to be cold. The cost of a cold target no longer falls when an entry hears no neighbours.

--- a/include/sycamorepost/forward/targets/ColdShares.h
+++ b/include/sycamorepost/forward/targets/ColdShares.h
@@ -82,7 +82,7 @@
   Instant ColdUntil(const std::string& aInstance) const;
   bool IsCold(const std::string& aInstance, Instant aNow) const
   {
-    return this->ColdUntil(aInstance) > aNow;
+    return this->lastColdUntil > aNow && this->ColdUntil(aInstance) > aNow;
   }
 
   // Returns when the next request may be sent to a target; not after aNow if it may be sent now.
@@ -125,7 +125,7 @@
 
   const Limits* LimitsOf(const Target& aTarget) const;
   Instant ColdUntil(const Target& aTarget) const;
-  void BeginShare(const std::string& aInstance, Target& aTarget, bool aIsFull, Instant aNow);
+  bool BeginIfCold(const std::string& aInstance, Target& aTarget, bool aIsFull, Instant aNow);
   void Rank(const std::string& aInstance, Target& aTarget) const;
   void Configure(Target& aTarget, Instant aNow) const;
   void Refresh(Instant aNow);
@@ -143,6 +143,8 @@
   std::optional<Instant> listedSince;       // When this entry was first seen to be registered.
   std::map<std::string, Limits> limits;     // By service.
   std::map<std::string, Target> targets;    // By instance.
+  // No target is cold from then on, as far as is known: placements need not look them up.
+  Instant lastColdUntil;
 };
 
 } // namespace sycamorepost
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -84,9 +84,11 @@
 // domain may have free, and outlasts the delay.
 constexpr double kRemoteShortPromptMs = 100;
 
-// Cost of a cold target, in calls across failure domains: a warm target of another domain is
-// preferred unless it is clearly busier, so that a domain that returns takes load gradually.
-constexpr double kColdRemoteCalls = 2;
+// Cost of a cold target, in milliseconds, for a plain call and for a prompt: that of two calls
+// across failure domains. A warm target of another domain is preferred unless it is clearly busier,
+// so that a domain that returns takes load gradually.
+constexpr double kColdPlainMs = 2 * kRemoteDomainMs;
+constexpr double kColdPromptMs = 2 * kRemoteShortPromptMs;
 
 // Cost of failed exchanges, in milliseconds of waiting per unit of the failure rate: one failed
 // exchange in two costs about a second attempt.
@@ -150,10 +152,11 @@
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
            double aRemoteMs,
+           double aColdMs,
            const LoadTracker& aLoadTracker)
 {
   const double distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
-  const double coldness = aCandidate.isCold ? kColdRemoteCalls * aRemoteMs : 0;
+  const double coldness = aCandidate.isCold ? aColdMs : 0;
   return distance + coldness +
          aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
 }
@@ -179,8 +182,8 @@
   for (Candidate& candidate : aCandidates) {
     const double load =
       static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
-    candidate.cost =
-      load * 2 * kRemoteDomainMs + CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
+    candidate.cost = load * 2 * kRemoteDomainMs +
+                     CommonCost(aRequest, candidate, kRemoteDomainMs, kColdPlainMs, aLoadTracker);
     candidate.cost += load >= 1 ? 2 * kRemoteDomainMs : 0;
   }
   SortByCost(aCandidates, aRandom);
@@ -401,7 +404,8 @@
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
-    candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, remoteMs, aLoadTracker) +
+    candidate.cost = candidate.waitMs +
+                     CommonCost(aRequest, candidate, remoteMs, kColdPromptMs, aLoadTracker) +
                      (isShort ? ShortCost(aRequest, candidate)
                               : candidate.load.strictStreams * kStrictStreamMs +
                                   RelaxedWeight(candidate) * kRelaxedWeightMs);
--- a/src/core/forward/targets/ColdShares.cpp
+++ b/src/core/forward/targets/ColdShares.cpp
@@ -29,7 +29,16 @@
 constexpr double kUnlimited = 1e9;
 
 // How far the clock of a target may be ahead of this process's for its start to be believed.
-constexpr Duration kMaxClockLead = std::chrono::seconds(1);
+constexpr std::int64_t kMaxClockLeadMs = 1000;
+
+// Returns whether a target may be cold because it started at a Unix time, as seen at another one;
+// both are 0 when unknown.
+bool
+IsRecent(std::int64_t aStartedAtMs, std::int64_t aUnixMs)
+{
+  return aStartedAtMs != 0 && aUnixMs != 0 && aStartedAtMs > aUnixMs - kMaxStatedMs &&
+         aStartedAtMs <= aUnixMs + kMaxClockLeadMs;
+}
 
 } // namespace
 
@@ -148,10 +157,9 @@
   const bool isNewIncarnation = isNew || known.startedAtMs != aTarget.startedAtMs;
   if (isNewIncarnation) {
     known = Target{ .startedAtMs = aTarget.startedAtMs, .service = aTarget.service };
-    const Duration age =
-      std::chrono::milliseconds(aReading.unixMs) - std::chrono::milliseconds(aTarget.startedAtMs);
-    if (aReading.unixMs != 0 && aTarget.startedAtMs != 0 && age >= -kMaxClockLead) {
-      known.bornAt = aReading.at - std::max(age, Duration::zero());
+    if (IsRecent(aTarget.startedAtMs, aReading.unixMs)) {
+      const std::chrono::milliseconds age(aReading.unixMs - aTarget.startedAtMs);
+      known.bornAt = aReading.at - std::max<Duration>(age, Duration::zero());
     }
   }
   const bool wasCold = !isNewIncarnation && this->ColdUntil(known) > aNow;
@@ -165,11 +173,8 @@
   } else if (aTarget.coldRemainingMs <= 0 && statedBefore > 0) {
     known.coldUntil = Instant();
   }
-  if (wasCold || this->ColdUntil(known) <= aNow) {
-    return false;
-  }
-  this->BeginShare(aTarget.instance, known, isNewIncarnation, aNow);
-  return true;
+  this->lastColdUntil = std::max(this->lastColdUntil, this->ColdUntil(known));
+  return !wasCold && this->BeginIfCold(aTarget.instance, known, isNewIncarnation, aNow);
 }
 
 bool
@@ -184,21 +189,22 @@
   const Duration remaining =
     std::min<Duration>(aRemaining, std::chrono::milliseconds(kMaxStatedMs));
   known.coldUntil = std::max(known.coldUntil, aNow + remaining);
-  if (wasCold || known.coldUntil <= aNow) {
-    return false;
-  }
-  this->BeginShare(aTarget.instance, known, false, aNow);
-  return true;
+  this->lastColdUntil = std::max(this->lastColdUntil, known.coldUntil);
+  return !wasCold && this->BeginIfCold(aTarget.instance, known, false, aNow);
 }
 
 // A target that becomes cold while it is in use has just got requests that were not counted, so its
-// shares start empty.
-void
-ColdShares::BeginShare(const std::string& aInstance, Target& aTarget, bool aIsFull, Instant aNow)
+// shares start empty. Returns whether it is cold.
+bool
+ColdShares::BeginIfCold(const std::string& aInstance, Target& aTarget, bool aIsFull, Instant aNow)
 {
+  if (this->ColdUntil(aTarget) <= aNow) {
+    return false;
+  }
   aTarget.bucket = aIsFull ? TokenBucket(kUnlimited, 0) : TokenBucket(0, 0);
   this->Rank(aInstance, aTarget);
   this->Configure(aTarget, aNow);
+  return true;
 }
 
 const ColdShares::Limits*
@@ -227,6 +233,9 @@
 Instant
 ColdShares::NextSendAt(const std::string& aInstance, Instant aNow) const
 {
+  if (this->lastColdUntil <= aNow) {
+    return aNow;
+  }
   const auto found = this->targets.find(aInstance);
   if (found == this->targets.end()) {
     return aNow;
@@ -307,6 +316,7 @@
 ColdShares::Refresh(Instant aNow)
 {
   for (auto& [instance, target] : this->targets) {
+    this->lastColdUntil = std::max(this->lastColdUntil, this->ColdUntil(target));
     if (this->ColdUntil(target) > aNow) {
       this->Rank(instance, target);
       this->Configure(target, aNow);
--- a/test/ColdTargetTest.cpp
+++ b/test/ColdTargetTest.cpp
@@ -225,7 +225,10 @@
           this->used.push_back(helper.address);
         }
       } else if (const auto* command = std::get_if<SendReservationCommand>(&effect)) {
-        this->used.push_back(command->instance);
+        if (command->tokens > 0) {
+          this->used.push_back(command->instance);
+          this->reservations.push_back(*command);
+        }
       } else if (const auto* response = std::get_if<SendResponse>(&effect)) {
         this->responses.push_back(*response);
       } else if (const auto* count = std::get_if<CountEvent>(&effect)) {
@@ -248,6 +251,7 @@
   ForwardReducer reducer;
   Instant now = kStart;
   std::vector<std::string> used; // Targets, by each request or reservation.
+  std::vector<SendReservationCommand> reservations;
   std::vector<SendResponse> responses;
   std::map<std::string, int> counts;
   std::uint64_t lastHandle = 0;
@@ -434,6 +438,19 @@
       entry.Request(2'000);
     }
     CPPUNIT_ASSERT(std::count(entry.used.begin(), entry.used.end(), "cold") > 0);
+
+    // A helper that becomes cold between its reservation and the start is not called.
+    Entry other(3);
+    other.Request(600'000);
+    const std::vector<SendReservationCommand> reservations = std::exchange(other.reservations, {});
+    const std::string helper = reservations.at(0).instance;
+    other.used.clear();
+    for (const SendReservationCommand& command : reservations) {
+      ReservationCommandEnd end{ command.command, true, true, command.instance };
+      end.announcement.coldRemaining = command.instance == helper ? seconds(2) : Duration();
+      other.Step(end);
+    }
+    CPPUNIT_ASSERT(std::count(other.used.begin(), other.used.end(), helper) == 0);
   }
 
   void CallersAreRefusedWhenAllSharesAreSpent()
