--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -78,14 +78,18 @@
   Placement placement =
     ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
   if (placement.status != PlacementStatus::Placed) {
-    static constexpr std::array<const char*, 6> kReasons{
+    static constexpr std::array<const char*, 7> kReasons{
       "",
       "no target is known",
       "all engines' memory is taken",
       "the prompt is larger than all engines",
       "all targets want no work for a while",
+      "the targets are cold and get no more requests now",
       "the prompt would delay too many other streams"
     };
+    if (placement.status == PlacementStatus::ColdSharesSpent) {
+      this->Count("forward_cold_shares", "spent");
+    }
     aState.retryAfterHint = FromMs(placement.waitMs);
     aState.isRetryAfterRequested = placement.status == PlacementStatus::Paused;
     if (placement.status == PlacementStatus::TooCostly) {
@@ -122,6 +126,7 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.evacuated = &this->evacuated;
+  request.coldShares = &this->coldShares;
   request.domain = this->config.domain;
   request.maxCostShare = this->MaxCostShare(aState);
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
@@ -239,6 +244,9 @@
   if (isLong) {
     this->ReportDomainLoad();
   }
+  if (this->coldShares.RecordSent(start.instance, this->now)) {
+    this->Count("forward_cold_shares", "used");
+  }
   attempt.placement = std::move(aPlacement);
   this->attemptOwner[attempt.id] = aState.request.handle;
   aState.attempt = std::move(attempt);
