--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -259,6 +259,8 @@
 ParseForwardSettings(const std::string& aText, std::vector<SettingsError>& aErrors)
 {
   static constexpr std::int64_t kMaxDescriptors = 1'000'000;
+  static constexpr std::int64_t kMinMemory = 32; // The process at rest takes about half of it.
+  static constexpr std::int64_t kMaxMemory = 1'000'000;
   static constexpr std::int64_t kMaxSample = 1'000'000;
   const auto root = ParseToml(aText, aErrors);
   if (!root) {
@@ -276,6 +278,7 @@
   forward.ReadDuration("drain_delay", settings.drainDelay);
   forward.ReadDuration("grace", settings.grace);
   forward.ReadInteger("descriptors", settings.descriptors, 256, kMaxDescriptors);
+  forward.ReadInteger("memory", settings.memory, kMinMemory, kMaxMemory);
   forward.ReadInteger("log_sample", settings.logSample, 1, kMaxSample);
   forward.ReadNumber("retry_ratio", settings.retryRatio);
   forward.ReadNumber("retry_slack", settings.retrySlack);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -48,6 +48,7 @@
     std::chrono::milliseconds(2500);        // 2.5 health check intervals of the balancer.
   Duration grace = std::chrono::seconds(8); // From SIGTERM until the platform ends the process.
   std::uint32_t descriptors = 4096;         // Limit on open file descriptors.
+  std::uint32_t memory = 512;               // Resident memory of the process, in MiB.
   std::uint32_t logSample = 64; // One request in this many is logged even if it succeeds.
   double retryRatio = 0.2;      // See ForwardConfig.
   double retrySlack = 20;       // See ForwardConfig.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -353,6 +353,9 @@
     CPPUNIT_ASSERT(
       !ParseForwardSettings(validSettings + "retry_ratio = -1\nretri_slack = 2\n", errors));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), errors.size());
+    errors.clear();
+    CPPUNIT_ASSERT(!ParseForwardSettings(validSettings + "memory = 31\n", errors));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), errors.at(0).line);
     CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
   }
 };
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -49,13 +49,18 @@
            { "Tenants", { { { "Name", "derwent" }, { "ApiKeys", { "key-1" } } } } } };
 }
 
-PlatformDeployment::PlatformDeployment()
+PlatformDeployment::PlatformDeployment(PlatformOptions aOptions)
+  : options(std::move(aOptions))
 {
   this->directory = "run/platform-" + std::to_string(this->network);
   std::filesystem::remove_all(this->directory);
   std::filesystem::create_directories(this->directory);
   this->store = this->Start("store", "standin-store", { "--listen=" + this->StoreAddress() });
-  this->Publish("keyed.op", "config", MakePlatformConfiguration(1).dump());
+  json configuration = MakePlatformConfiguration(1);
+  if (!this->options.limits.is_null()) {
+    configuration["Limits"] = this->options.limits;
+  }
+  this->Publish("keyed.op", "config", configuration.dump());
   for (int i = 1; i <= kEngines + 1; ++i) {
     this->targets.push_back(this->StartTarget(i));
   }
@@ -81,7 +86,8 @@
                            ":7001\"\npeer_address = \"" + ip + ":7000\"\nstore_address = \"" +
                            this->StoreAddress() +
                            "\"\nretry_slack = 100\ndrain_delay = \"100ms\"\n"
-                           "grace = \"3s\"\n";
+                           "grace = \"3s\"\n" +
+                           this->options.entrySettings;
   return this->Start(name, "sycamorepost-entry", { "--config", path });
 }
 
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -35,12 +35,19 @@
 nlohmann::json
 MakePlatformConfiguration(std::uint64_t aVersion);
 
+// What differs from the default deployment.
+struct PlatformOptions
+{
+  std::string entrySettings; // Further lines of the table [forward] of each entry.
+  nlohmann::json limits;     // The member "Limits" of the configuration; null for none.
+};
+
 // A store, three engines, a plain service and two entries. Returns from its constructor when both
 // entries know all targets.
 class PlatformDeployment
 {
 public:
-  PlatformDeployment();
+  explicit PlatformDeployment(PlatformOptions aOptions = {});
 
   std::string StoreAddress() const { return this->Ip(1, 1) + ":7300"; }
   std::string EntryIp(int aIndex) const { return this->Ip(2, aIndex); }
@@ -101,6 +108,7 @@
   int network = ShiftNetwork(60);
   std::string binaryDirectory = BinaryDirectory();
   std::string directory;
+  PlatformOptions options;
 };
 
 } // namespace sycamorepost::harness
