Read requests in steps, within what a ledger grants

HttpServer buffered trailers and chunk extensions without limit, and a body of up to the limit for each connection without a bound over all of them. It now parses what each read brings, bounds what stays unparsed to the header limit and 8 KiB, and reserves memory in a MemoryLedger before it reads more. An evicted request is refused with 503, Retry-After and the outcome not-run. The body's account goes with it to its holders. Over the limit on connections, the oldest one that has sent nothing is closed. Refusals are reported by reason.

--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -21,6 +21,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
+#include "sycamorepost/MemoryLedger.h"
 #include "sycamorepost/Types.h"
 
 namespace sycamorepost {
@@ -130,11 +131,38 @@
 // Returns the body of an error response that the server generates without calling the handler.
 using HttpErrorBodyFormatter = std::function<std::string(int aStatus, const std::string& aMessage)>;
 
-// HTTP server that runs on the single thread of an io_context.
+// Why the server refused a request or closed its connection without calling the handler.
+enum class HttpRefusal
+{
+  Malformed,   // It is not valid HTTP; status 400.
+  Timeout,     // It did not arrive in time; status 408.
+  Body,        // Its body exceeds the limit; status 413.
+  Header,      // Its header exceeds the limit; status 431.
+  Unparsed,    // A chunk header or a trailer does not end; status 431.
+  Connections, // Too many connections are open; status 503.
+  Memory,      // Callers hold too much memory; status 503.
+  Evicted,     // It was incomplete, and its memory was needed; status 503.
+  Unused,      // The connection has sent nothing, and another one needed its place; no response.
+};
+
+// Returns the name of a refusal in the metrics.
+const char*
+ToString(HttpRefusal aRefusal);
+
+// Is told each refusal.
+using HttpRefusalHandler = std::function<void(HttpRefusal)>;
+
+// HTTP server that runs on the single thread of an io_context. Requests are read in steps, each
+// within what a ledger grants.
 class HttpServer
 {
 public:
-  HttpServer(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler);
+  // aLedger must outlive aContext, since suspended connections and the bodies of requests have
+  // accounts in it. Without one, only the limits apply.
+  HttpServer(asio::io_context& aContext,
+             HttpLimits aLimits,
+             HttpHandler aHandler,
+             MemoryLedger* aLedger = nullptr);
 
   // Sets the limits that apply from the next request on.
   void SetLimits(const HttpLimits& aLimits) { this->limits = aLimits; }
@@ -155,6 +183,12 @@
     this->errorBodyFormatter = std::move(aFormatter);
   }
 
+  // Sets what is called for each refusal.
+  void SetRefusalHandler(HttpRefusalHandler aHandler)
+  {
+    this->refusalHandler = std::move(aHandler);
+  }
+
   // Returns the number of open connections.
   std::size_t Connections() const { return this->connections; }
 
@@ -162,20 +196,30 @@
   std::size_t ActiveRequests() const { return this->activeRequests; }
 
 private:
+  struct Connection;
+  struct ReadResult;
+
   asio::awaitable<void> Accept();
   asio::awaitable<void> ServeConnection(tcp::socket aSocket);
-  asio::awaitable<bool> AwaitRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer);
-  asio::awaitable<bool> ServeRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer);
-  asio::awaitable<void> RefuseRequest(HttpExchange& aExchange, beast::error_code aError);
+  bool MakeRoomForConnection();
+  asio::awaitable<bool> AwaitRequest(Connection& aConnection);
+  asio::awaitable<bool> ServeRequest(Connection& aConnection);
+  asio::awaitable<ReadResult> ReadRequest(Connection& aConnection);
+  asio::awaitable<void> Refuse(Connection& aConnection, HttpRefusal aRefusal, std::string aDetail);
+  std::uint64_t MaxBodyBytes() const;
 
   asio::io_context& context;
   HttpLimits limits;
   HttpHandler handler;
+  MemoryLedger* ledger;
   HttpErrorBodyFormatter errorBodyFormatter;
+  HttpRefusalHandler refusalHandler;
   tcp::acceptor acceptor;
   std::size_t connections = 0;
   std::size_t activeRequests = 0;
-  std::set<beast::tcp_stream*> idleConnections; // Connections that wait for a request.
+  std::uint64_t lastConnection = 0;
+  std::set<beast::tcp_stream*> idleConnections;           // Connections that wait for a request.
+  std::map<std::uint64_t, Connection*> unusedConnections; // Without a request so far, by their age.
   bool stopping = false;
   bool closing = false;
 };
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,4 +1,5 @@
-#include <tuple>
+#include <algorithm>
+#include <array>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -6,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/Clock.h"
 #include "net/Http.h"
 #include "sycamorepost/internal/Text.h"
 
@@ -28,20 +30,59 @@
   return head;
 }
 
-// Returns the status and message for a request that could not be read.
-std::pair<int, std::string>
-ExplainReadError(beast::error_code aError)
+// What a connection without a request costs, with the buffer of its first read.
+constexpr std::uint64_t kConnectionBytes = 8 * 1024;
+
+constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 16 * 1024;
+
+// Memory is reserved in such steps, so that not every read needs a reservation.
+constexpr std::uint64_t kReservationBytes = 16 * 1024;
+
+// What may be buffered of a request beside its header: the limit on a chunk header.
+constexpr std::size_t kMaxChunkHeaderBytes = 8 * 1024;
+
+// A refusal for lack of memory must not hold memory itself for long.
+constexpr Duration kRefusalWriteTimeout = std::chrono::milliseconds(500);
+
+struct RefusalTraits
+{
+  const char* name;
+  int status;
+  const char* message;
+};
+
+const RefusalTraits&
+TraitsOf(HttpRefusal aRefusal)
+{
+  // In the order of HttpRefusal.
+  static constexpr std::array<RefusalTraits, 9> kTraits{ {
+    { "malformed", 400, "The request is not valid HTTP" },
+    { "timeout", 408, "The request did not arrive in time." },
+    { "body", 413, "The request's body is too large." },
+    { "header", 431, "The request's header is too large." },
+    { "unparsed", 431, "A chunk header or a trailer of the request is too large." },
+    { "connections", 503, "Too many connections." },
+    { "memory", 503, "Too many requests are in progress." },
+    { "evicted", 503, "The request was incomplete while too many are in progress." },
+    { "unused", 0, "" },
+  } };
+  return kTraits.at(static_cast<std::size_t>(aRefusal));
+}
+
+HttpRefusal
+ClassifyReadError(beast::error_code aError)
 {
   if (aError == http::error::header_limit) {
-    return { 431, "The request's header is too large." };
+    return HttpRefusal::Header;
   }
-  if (aError == http::error::body_limit) {
-    return { 413, "The request's body is too large." };
+  if (aError == http::error::buffer_overflow) {
+    return HttpRefusal::Unparsed;
   }
-  if (aError == beast::error::timeout) {
-    return { 408, "The request did not arrive in time." };
+  if (aError == http::error::body_limit) {
+    return HttpRefusal::Body;
   }
-  return { 400, "The request is not valid HTTP: " + aError.message() + "." };
+  return aError == beast::error::timeout ? HttpRefusal::Timeout : HttpRefusal::Malformed;
 }
 
 bool
@@ -51,8 +92,79 @@
          aError == asio::error::operation_aborted;
 }
 
+// A body and the account that holds its memory.
+struct AccountedBody
+{
+  explicit AccountedBody(MemoryLedger* aLedger)
+    : account(aLedger)
+  {
+  }
+
+  std::string text;
+  MemoryLedger::Account account;
+};
+
 } // namespace
 
+// An open connection. Its account holds what the connection itself costs, and what has arrived of
+// an incomplete request.
+struct HttpServer::Connection
+{
+  Connection(tcp::socket aSocket, MemoryLedger* aLedger, std::uint64_t aNumber)
+    : number(aNumber)
+    , stream(std::move(aSocket))
+    , account(aLedger, [this] { this->stream.cancel(); })
+  {
+  }
+
+  // Reserves memory so that the account holds at least aBytes.
+  bool Hold(std::uint64_t aBytes)
+  {
+    const std::uint64_t held = this->account.Bytes();
+    return aBytes <= held ||
+           this->account.Reserve(std::max(aBytes - held, kReservationBytes), Now());
+  }
+
+  // Marks the request as complete, and moves what its body holds to aBody. Returns false if a body
+  // from the first read, which was not reserved for so far, does not fit.
+  bool HandOver(MemoryLedger::Account& aBody, std::uint64_t aBytes)
+  {
+    this->account.EndRequest();
+    const std::uint64_t held = this->account.Bytes();
+    this->account.Transfer(aBody, std::min(aBytes, held - std::min(held, kConnectionBytes)));
+    return aBody.Bytes() >= aBytes || aBody.Reserve(aBytes - aBody.Bytes(), Now());
+  }
+
+  // Releases what was held of a request.
+  void ReleaseRequest()
+  {
+    this->account.EndRequest();
+    const std::uint64_t held = this->account.Bytes();
+    this->account.Release(held - std::min(held, kConnectionBytes));
+  }
+
+  std::uint64_t number; // Rises with each connection.
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  MemoryLedger::Account account;
+};
+
+// A request that was read, or why it was not. Neither is set if the caller has closed the
+// connection.
+struct HttpServer::ReadResult
+{
+  std::optional<HttpRequest> request;
+  bool keepAlive = false;
+  std::optional<HttpRefusal> refusal;
+  std::string detail; // Appended to the message of the refusal.
+};
+
+const char*
+ToString(HttpRefusal aRefusal)
+{
+  return TraitsOf(aRefusal).name;
+}
+
 std::optional<tcp::endpoint>
 ParseEndpoint(const std::string& aText)
 {
@@ -176,10 +288,14 @@
     });
 }
 
-HttpServer::HttpServer(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler)
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpLimits aLimits,
+                       HttpHandler aHandler,
+                       MemoryLedger* aLedger)
   : context(aContext)
   , limits(aLimits)
   , handler(std::move(aHandler))
+  , ledger(aLedger)
   , errorBodyFormatter([](int, const std::string& aMessage) { return aMessage + "\n"; })
   , acceptor(aContext)
 {
@@ -240,90 +356,200 @@
 HttpServer::ServeConnection(tcp::socket aSocket)
 {
   ++this->connections;
-  beast::tcp_stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
-  if (this->connections > this->limits.connections) {
-    HttpExchange exchange(stream, false, this->limits.writeTimeout);
-    std::vector<Field> fields{ { "Retry-After", "1" } };
-    co_await exchange.Respond(
-      503, std::move(fields), MakeBody(this->errorBodyFormatter(503, "Too many connections.")));
+  Connection connection(std::move(aSocket), this->ledger, ++this->lastConnection);
+  const bool hasPlace =
+    this->connections <= this->limits.connections || this->MakeRoomForConnection();
+  if (!hasPlace) {
+    co_await this->Refuse(connection, HttpRefusal::Connections, "");
+  } else if (!connection.account.Reserve(kConnectionBytes, Now())) {
+    co_await this->Refuse(connection, HttpRefusal::Memory, "");
   } else {
+    this->unusedConnections[connection.number] = &connection;
     bool keepServing = true;
     while (keepServing) {
-      keepServing = co_await this->AwaitRequest(stream, buffer);
+      keepServing = co_await this->AwaitRequest(connection);
+      this->unusedConnections.erase(connection.number);
       if (keepServing) {
         ++this->activeRequests;
-        keepServing = co_await this->ServeRequest(stream, buffer);
+        keepServing = co_await this->ServeRequest(connection);
         --this->activeRequests;
       }
     }
   }
   beast::error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   --this->connections;
 }
 
+// Closes the oldest connection that has not sent anything. Returns whether there was one.
+// Connections that have been used are kept, as callers reuse them.
+bool
+HttpServer::MakeRoomForConnection()
+{
+  if (this->unusedConnections.empty()) {
+    return false;
+  }
+  const auto oldest = this->unusedConnections.begin();
+  oldest->second->stream.cancel();
+  this->unusedConnections.erase(oldest);
+  if (this->refusalHandler) {
+    this->refusalHandler(HttpRefusal::Unused);
+  }
+  return true;
+}
+
 // Waits for the first byte of a request, under the idle timeout. The timeouts for the header and
 // body start with that byte.
 asio::awaitable<bool>
-HttpServer::AwaitRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+HttpServer::AwaitRequest(Connection& aConnection)
 {
-  static constexpr std::size_t kFirstReadBytes = 4096;
-  if (aBuffer.size() > 0) {
+  beast::flat_buffer& buffer = aConnection.buffer;
+  if (buffer.size() > 0) {
     co_return true;
   }
   if (this->stopping) {
     co_return false;
   }
-  aStream.expires_after(this->limits.idleTimeout);
-  this->idleConnections.insert(&aStream);
+  if (buffer.capacity() > kFirstReadBytes) {
+    buffer.shrink_to_fit(); // A large request has enlarged it.
+  }
+  aConnection.stream.expires_after(this->limits.idleTimeout);
+  this->idleConnections.insert(&aConnection.stream);
   const auto [error, size] =
-    co_await aStream.async_read_some(aBuffer.prepare(kFirstReadBytes), kAsTuple);
-  this->idleConnections.erase(&aStream);
-  aBuffer.commit(size);
+    co_await aConnection.stream.async_read_some(buffer.prepare(kFirstReadBytes), kAsTuple);
+  this->idleConnections.erase(&aConnection.stream);
+  buffer.commit(size);
   co_return !error;
 }
 
 asio::awaitable<bool>
-HttpServer::ServeRequest(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+HttpServer::ServeRequest(Connection& aConnection)
 {
+  aConnection.account.BeginRequest(Now());
+  ReadResult result = co_await this->ReadRequest(aConnection);
+  aConnection.ReleaseRequest();
+  if (!result.request) {
+    if (result.refusal) {
+      co_await this->Refuse(aConnection, *result.refusal, std::move(result.detail));
+    }
+    co_return false;
+  }
+  HttpExchange exchange(
+    aConnection.stream, result.keepAlive, this->limits.writeTimeout, &this->closing);
+  aConnection.stream.expires_never();
+  co_await this->handler(std::move(*result.request), exchange);
+  co_return exchange.KeepAlive();
+}
+
+// Reads a request in steps and reserves the memory of each step before it reads. Neither timeout
+// restarts with the bytes that arrive.
+asio::awaitable<HttpServer::ReadResult>
+HttpServer::ReadRequest(Connection& aConnection)
+{
+  ReadResult result;
+  beast::flat_buffer& buffer = aConnection.buffer;
   http::request_parser<http::string_body> parser;
   parser.header_limit(this->limits.headerBytes);
-  parser.body_limit(this->limits.bodyBytes);
-  aStream.expires_after(this->limits.headerTimeout);
-  auto [error, size] = co_await http::async_read_header(aStream, aBuffer, parser, kAsTuple);
-  if (!error && !parser.is_done()) {
-    aStream.expires_after(this->limits.bodyTimeout);
-    std::tie(error, size) = co_await http::async_read(aStream, aBuffer, parser, kAsTuple);
+  parser.body_limit(this->MaxBodyBytes());
+  parser.eager(true);
+  const std::size_t maxUnparsed = this->limits.headerBytes + kMaxChunkHeaderBytes;
+  const std::string& body = parser.get().body();
+  beast::error_code error;
+  bool isInBody = false;
+  aConnection.stream.expires_after(this->limits.headerTimeout);
+  while (true) {
+    if (buffer.size() > 0) {
+      buffer.consume(parser.put(buffer.data(), error));
+    }
+    if (error == http::error::need_more) {
+      error = {};
+    }
+    if (error || parser.is_done()) {
+      break;
+    }
+    if (!isInBody && parser.is_header_done()) {
+      isInBody = true;
+      aConnection.stream.expires_after(this->limits.bodyTimeout);
+    }
+    if (buffer.size() >= maxUnparsed) {
+      error = isInBody ? http::error::buffer_overflow : http::error::header_limit;
+      break;
+    }
+    const std::size_t wanted =
+      std::min(isInBody ? kBodyReadBytes : kFirstReadBytes, maxUnparsed - buffer.size());
+    const bool isWithinFirstRead = body.size() + buffer.size() + wanted <= kFirstReadBytes;
+    const bool isGranted = isWithinFirstRead || aConnection.Hold(kConnectionBytes + body.size() +
+                                                                 buffer.size() + wanted);
+    if (!isGranted) {
+      result.refusal = HttpRefusal::Memory;
+      co_return result;
+    }
+    const auto [readError, size] =
+      co_await aConnection.stream.async_read_some(buffer.prepare(wanted), kAsTuple);
+    buffer.commit(size);
+    if (aConnection.account.IsEvicted()) {
+      result.refusal = HttpRefusal::Evicted;
+      co_return result;
+    }
+    if (readError) {
+      error = readError == asio::error::eof ? http::error::partial_message : readError;
+      break;
+    }
   }
   if (error) {
-    HttpExchange exchange(aStream, false, this->limits.writeTimeout);
     if (!IsConnectionClosed(error)) {
-      co_await this->RefuseRequest(exchange, error);
+      result.refusal = ClassifyReadError(error);
+      result.detail = *result.refusal == HttpRefusal::Malformed ? ": " + error.message() + "." : "";
     }
-    co_return false;
+    co_return result;
   }
   auto message = parser.release();
-  const bool keepAlive = message.keep_alive() && !this->stopping;
-  HttpExchange exchange(aStream, keepAlive, this->limits.writeTimeout, &this->closing);
-  HttpRequest request;
+  const auto accounted = std::make_shared<AccountedBody>(this->ledger);
+  accounted->text = std::move(message.body());
+  const bool isHeld = aConnection.HandOver(accounted->account, accounted->text.size());
+  if (!isHeld) {
+    result.refusal = HttpRefusal::Memory;
+    co_return result;
+  }
+  result.keepAlive = message.keep_alive() && !this->stopping;
+  HttpRequest& request = result.request.emplace();
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  request.body = MakeBody(std::move(message.body()));
+  request.body = SharedBody(accounted, &accounted->text);
   request.fields = std::move(message.base());
-  aStream.expires_never();
-  co_await this->handler(std::move(request), exchange);
-  co_return exchange.KeepAlive();
+  co_return result;
 }
 
+// Refuses a request that has not run. Its connection is closed afterwards.
 asio::awaitable<void>
-HttpServer::RefuseRequest(HttpExchange& aExchange, beast::error_code aError)
+HttpServer::Refuse(Connection& aConnection, HttpRefusal aRefusal, std::string aDetail)
 {
-  const auto [status, message] = ExplainReadError(aError);
+  if (this->refusalHandler) {
+    this->refusalHandler(aRefusal);
+  }
+  const RefusalTraits& traits = TraitsOf(aRefusal);
   std::vector<Field> fields{ { "Content-Type", "application/json" },
                              { "Sycamorepost-Outcome", ToString(Outcome::NotRun) } };
-  co_await aExchange.Respond(
-    status, std::move(fields), MakeBody(this->errorBodyFormatter(status, message)));
+  if (traits.status == 503) {
+    fields.emplace_back("Retry-After", "1");
+  }
+  HttpExchange exchange(
+    aConnection.stream, false, std::min(this->limits.writeTimeout, kRefusalWriteTimeout));
+  co_await exchange.Respond(
+    traits.status,
+    std::move(fields),
+    MakeBody(this->errorBodyFormatter(traits.status, traits.message + aDetail)));
+}
+
+// Returns the limit on a body, which the ledger must be able to grant beside the other memory of
+// its connection.
+std::uint64_t
+HttpServer::MaxBodyBytes() const
+{
+  const std::uint64_t reserve =
+    kConnectionBytes + this->limits.headerBytes + kMaxChunkHeaderBytes + kReservationBytes;
+  return this->ledger ? std::min(this->limits.bodyBytes, this->ledger->LargestAccount() - reserve)
+                      : this->limits.bodyBytes;
 }
 
 } // namespace sycamorepost
