Bound what callers make a forwarding entry hold by the setting memory

Half of memory is the capacity of the ledger for requests, bodies and unsent responses; an eighth, instead of 64 MiB whatever the VM has, is what the reducer may buffer of responses. A response that finds no memory is aborted, not refused, as its request may have run. The entry maps blocks of 128 KiB and more one by one, so that freed bodies return to the kernel. Refusals are counted on the metrics address.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 // forwarding to the targets itself.
 #include <gflags/gflags.h>
 #include <glog/logging.h>
+#include <malloc.h>
 
 #include "runtime/EntryDaemon.h"
 #include "runtime/ForwardDaemon.h"
@@ -11,6 +12,9 @@
 
 namespace {
 
+// The smallest block that the allocator maps by itself, in bytes.
+constexpr int kMappedBytes = 128 * 1024;
+
 // Runs an entry that forwards requests to targets itself, without sidecars.
 int
 RunForwardingEntry()
@@ -39,6 +43,9 @@
 int
 main(int aCount, char** aArguments)
 {
+  // Bodies and responses are mapped and returned to the kernel one by one. By default the allocator
+  // raises this threshold to the largest block freed, and then keeps freed blocks in its heap.
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
   gflags::SetUsageMessage("runs an entry: sycamorepost-entry --config FILE [--check]");
   FLAGS_logtostderr = true;
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -386,6 +386,9 @@
   Duration reservationLease = std::chrono::seconds(3);
   // The time within which a new version of the configuration must be in force.
   Duration changeBound = std::chrono::seconds(2);
+  // What all attempts may buffer of responses together. Beyond it, those with more than an equal
+  // share are aborted.
+  std::uint64_t maxBufferedBytes = 64ULL * 1024 * 1024;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
--- a/src/core/forward/request/ForwardAttempts.cpp
+++ b/src/core/forward/request/ForwardAttempts.cpp
@@ -25,10 +25,6 @@
 constexpr std::size_t kMaxWholeResponseBytes = 16 * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
-// What all attempts may buffer together. Beyond it, those with more than an equal share are
-// aborted.
-constexpr std::size_t kMaxBufferedBytes = 64 * 1024 * 1024;
-
 // Returns why a stream that ended is not complete, or null. When the connection's end is all that
 // ends it, a stream without events cannot be told from one of an engine that has crashed.
 const char*
@@ -120,8 +116,9 @@
   const std::size_t bytes = aAttempt.body.size() + aAttempt.events.BufferedBytes();
   this->bufferedBytes += bytes;
   this->bufferedBytes -= std::exchange(aAttempt.bufferedBytes, bytes);
-  return this->bufferedBytes <= kMaxBufferedBytes ||
-         bytes <= kMaxBufferedBytes / std::max<std::size_t>(1, this->attemptOwner.size());
+  const std::uint64_t limit = this->config.maxBufferedBytes;
+  return this->bufferedBytes <= limit ||
+         bytes <= limit / std::max<std::size_t>(1, this->attemptOwner.size());
 }
 
 void
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -24,6 +24,17 @@
 // File descriptors reserved for files, peer connections and the store.
 constexpr std::uint32_t kReservedDescriptors = 300;
 
+// What callers may hold, one part in this many of the memory of the process, and what attempts may
+// buffer of responses. The process at rest and the allocator's overhead take the rest.
+constexpr std::uint64_t kCallerShare = 2;
+constexpr std::uint64_t kAttemptShare = 8;
+
+std::uint64_t
+MebiBytes(std::uint32_t aMebiBytes)
+{
+  return std::uint64_t{ aMebiBytes } * 1024 * 1024;
+}
+
 HttpLimits
 MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
 {
@@ -51,6 +62,7 @@
 ForwardDaemon::ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath)
   : settings(std::move(aSettings))
   , settingsPath(std::move(aSettingsPath))
+  , ledger(MebiBytes(this->settings.memory) / kCallerShare)
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
   , reducer(ForwardConfig{ .name = this->settings.name,
@@ -60,7 +72,8 @@
                            .retryRatio = this->settings.retryRatio,
                            .retrySlack = this->settings.retrySlack,
                            .reservationLease = this->settings.reservationLease,
-                           .changeBound = this->settings.changeBound })
+                           .changeBound = this->settings.changeBound,
+                           .maxBufferedBytes = MebiBytes(this->settings.memory) / kAttemptShare })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -93,11 +106,13 @@
                },
                [this] { return this->reducer.DomainRank(Now()); } },
              this->incarnation)
-  , server(this->context,
-           MakeLimits(this->settings, CallerLimits{}),
-           [this](HttpRequest aRequest, HttpExchange& aExchange) {
-             return this->Serve(std::move(aRequest), aExchange);
-           })
+  , server(
+      this->context,
+      MakeLimits(this->settings, CallerLimits{}),
+      [this](HttpRequest aRequest, HttpExchange& aExchange) {
+        return this->Serve(std::move(aRequest), aExchange);
+      },
+      &this->ledger)
   , pages{ [this] { return this->reducer.IsReady() && !this->draining; },
            [this] { return this->FormatMetrics(); },
            [this] { return this->MakeDump(); },
@@ -110,6 +125,8 @@
   , signals(this->context, SIGTERM, SIGINT, SIGHUP)
   , wakeTimer(this->context)
 {
+  this->server.SetRefusalHandler(
+    [this](HttpRefusal aRefusal) { this->metrics.Count("caller_refusals", ToString(aRefusal)); });
 }
 
 int
@@ -426,6 +443,8 @@
                     static_cast<double>(this->reducer.Evacuations().domains.size()));
   this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
   this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
+  this->metrics.Set("caller_memory_bytes", static_cast<double>(this->ledger.Used()));
+  this->metrics.Set("caller_memory_capacity_bytes", static_cast<double>(this->ledger.Capacity()));
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
   this->metrics.Set("peer_messages_dropped", static_cast<double>(this->bus.Dropped()));
   this->metrics.Set("peer_messages_malformed", static_cast<double>(this->bus.Malformed()));
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -16,6 +16,7 @@
 #include "runtime/DecisionLog.h"
 #include "runtime/Metrics.h"
 #include "runtime/Settings.h"
+#include "sycamorepost/MemoryLedger.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 
 namespace sycamorepost {
@@ -36,8 +37,9 @@
   // not yet sent.
   struct Session
   {
-    explicit Session(asio::io_context& aContext)
-      : changed(aContext)
+    Session(asio::io_context& aContext, MemoryLedger& aLedger)
+      : unsentAccount(&aLedger)
+      , changed(aContext)
       , written(aContext)
     {
     }
@@ -47,6 +49,8 @@
     std::optional<BeginResponse> begin;
     std::optional<SendResponse> response;
     std::string unsentBytes;
+    // Holds the response or the unsent bytes, and the piece that is being sent.
+    MemoryLedger::Account unsentAccount;
     bool isComplete = false;
     bool isAborted = false;
     asio::steady_timer changed; // Cancelled to resume the session's coroutine.
@@ -73,6 +77,7 @@
   void Execute(RequestConfiguration& aRequest);
   void Execute(CountEvent& aCount);
   void Execute(LogDecision& aDecision);
+  bool HoldUnsent(Session& aSession, std::size_t aBytes);
   Session* FindSession(std::uint64_t aHandle);
 
   void EndSession(std::uint64_t aHandle);
@@ -102,6 +107,7 @@
 
   ForwardSettings settings;
   std::string settingsPath;
+  MemoryLedger ledger; // Outlives the context, whose coroutines have accounts in it.
   asio::io_context context{ 1 };
   std::uint64_t incarnation;
   Metrics metrics;
--- a/src/runtime/ForwardSessions.cpp
+++ b/src/runtime/ForwardSessions.cpp
@@ -40,7 +40,9 @@
 ForwardDaemon::Execute(WriteResponse& aWrite)
 {
   if (Session* session = this->FindSession(aWrite.handle)) {
-    session->unsentBytes += aWrite.bytes;
+    if (this->HoldUnsent(*session, aWrite.bytes.size())) {
+      session->unsentBytes += aWrite.bytes;
+    }
     session->changed.cancel();
   }
 }
@@ -67,16 +69,34 @@
 ForwardDaemon::Execute(SendResponse& aResponse)
 {
   if (Session* session = this->FindSession(aResponse.handle)) {
-    session->response = std::move(aResponse);
+    if (this->HoldUnsent(*session, aResponse.body.size())) {
+      session->response = std::move(aResponse);
+    }
     session->changed.cancel();
   }
 }
 
+// Reserves memory for a part of a response. If there is none, the response is aborted and this
+// returns false: its request may have run, so it is not refused.
+bool
+ForwardDaemon::HoldUnsent(Session& aSession, std::size_t aBytes)
+{
+  if (aSession.isAborted) {
+    return false;
+  }
+  if (!aSession.unsentAccount.Reserve(aBytes, Now())) {
+    aSession.isAborted = true;
+    this->metrics.Count("caller_responses_aborted", "memory");
+    return false;
+  }
+  return true;
+}
+
 asio::awaitable<void>
 ForwardDaemon::Serve(HttpRequest aRequest, HttpExchange& aExchange)
 {
   const std::uint64_t handle = ++this->lastHandle;
-  const auto session = std::make_shared<Session>(this->context);
+  const auto session = std::make_shared<Session>(this->context, this->ledger);
   session->startedAt = Now();
   session->request =
     std::make_shared<const ForwardRequest>(platform::DecodeRequest(aRequest, handle));
@@ -138,7 +158,9 @@
     if (!aSession.unsentBytes.empty()) {
       std::string bytes = std::exchange(aSession.unsentBytes, {});
       aSession.written.cancel();
+      const std::size_t size = bytes.size();
       open = co_await aExchange.Write(std::move(bytes));
+      aSession.unsentAccount.Release(size);
     } else if (aSession.isComplete) {
       co_await aExchange.EndStream({});
       co_return;
