--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -34,7 +34,10 @@
 constexpr std::uint64_t kConnectionBytes = 8 * 1024;
 
 constexpr std::size_t kFirstReadBytes = 4096;
+
+// Bodies are read in larger steps once they are large: system calls would cost more than the bytes.
 constexpr std::size_t kBodyReadBytes = 16 * 1024;
+constexpr std::size_t kLargeReadBytes = 64 * 1024;
 
 // Memory is reserved in such steps, so that not every read needs a reservation.
 constexpr std::uint64_t kReservationBytes = 16 * 1024;
@@ -135,9 +138,12 @@
     return aBody.Bytes() >= aBytes || aBody.Reserve(aBytes - aBody.Bytes(), Now());
   }
 
-  // Releases what was held of a request.
+  // Releases what was held of a request, with the memory of a buffer that it has enlarged.
   void ReleaseRequest()
   {
+    if (this->buffer.capacity() > std::max(kFirstReadBytes, 2 * this->buffer.size())) {
+      this->buffer.shrink_to_fit();
+    }
     this->account.EndRequest();
     const std::uint64_t held = this->account.Bytes();
     this->account.Release(held - std::min(held, kConnectionBytes));
@@ -410,9 +416,6 @@
   if (this->stopping) {
     co_return false;
   }
-  if (buffer.capacity() > kFirstReadBytes) {
-    buffer.shrink_to_fit(); // A large request has enlarged it.
-  }
   aConnection.stream.expires_after(this->limits.idleTimeout);
   this->idleConnections.insert(&aConnection.stream);
   const auto [error, size] =
@@ -475,8 +478,9 @@
       error = isInBody ? http::error::buffer_overflow : http::error::header_limit;
       break;
     }
+    const std::size_t bodyRead = body.size() < kLargeReadBytes ? kBodyReadBytes : kLargeReadBytes;
     const std::size_t wanted =
-      std::min(isInBody ? kBodyReadBytes : kFirstReadBytes, maxUnparsed - buffer.size());
+      isInBody ? bodyRead : std::min(kFirstReadBytes, maxUnparsed - buffer.size());
     const bool isWithinFirstRead = body.size() + buffer.size() + wanted <= kFirstReadBytes;
     const bool isGranted = isWithinFirstRead || aConnection.Hold(kConnectionBytes + body.size() +
                                                                  buffer.size() + wanted);
@@ -546,8 +550,8 @@
 std::uint64_t
 HttpServer::MaxBodyBytes() const
 {
-  const std::uint64_t reserve =
-    kConnectionBytes + this->limits.headerBytes + kMaxChunkHeaderBytes + kReservationBytes;
+  const std::uint64_t reserve = kConnectionBytes + this->limits.headerBytes + kMaxChunkHeaderBytes +
+                                kLargeReadBytes + kReservationBytes;
   return this->ledger ? std::min(this->limits.bodyBytes, this->ledger->LargestAccount() - reserve)
                       : this->limits.bodyBytes;
 }
--- a/test/OpenClientsTest.cpp
+++ b/test/OpenClientsTest.cpp
@@ -62,6 +62,15 @@
   return PostHead("/draft/1", "Transfer-Encoding: chunked");
 }
 
+// A chunked head, and the size line of a chunk that is one byte larger than aBytes.
+std::string
+OpenChunkHead(std::size_t aBytes)
+{
+  std::ostringstream size;
+  size << std::hex << aBytes + 1;
+  return ChunkedHead() + size.str() + "\r\n";
+}
+
 std::string
 LengthHead(std::size_t aBytes)
 {
@@ -173,6 +182,7 @@
   CPPUNIT_TEST(OpenBodiesWithLength);
   CPPUNIT_TEST(UnreadResponses);
   CPPUNIT_TEST(SilentConnections);
+  CPPUNIT_TEST(MemoryDoesNotAddUpOverRounds);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -239,15 +249,40 @@
   // Guards against silent connections that keep all others out.
   void SilentConnections() { this->Play(kSilentCallers, {}); }
 
+  // Guards against freed memory that stays in the process in pieces too small for what comes next:
+  // each round holds bodies of another size.
+  void MemoryDoesNotAddUpOverRounds()
+  {
+    PlatformDeployment deployment(MakeOptions());
+    const std::string process = "/proc/" + std::to_string(deployment.entries[0].Pid());
+    for (const std::size_t bytes : { 20 * kKiB, 100 * kKiB, 900 * kKiB, 200 * kKiB, 60 * kKiB }) {
+      Crowd crowd(
+        deployment.EntryIp(1) + ":7080", kManyCallers, { OpenChunkHead(bytes), "x", bytes });
+      crowd.Send([] {});
+      AwaitSettled(deployment.EntryIp(1), process, [] {});
+      std::cout << ' ' << ReadStatus(process, "VmRSS:") / 1024 << " MiB" << std::flush;
+    }
+    CPPUNIT_ASSERT(deployment.entries[0].IsRunning());
+    CPPUNIT_ASSERT(ReadStatus(process, "VmHWM:") < kMemoryMiB * 1024);
+    const bool hasReturned = WaitUntil(
+      kAwaitTimeout, [&] { return ReadStatus(process, "VmRSS:") < kMemoryMiB / 2 * 1024; });
+    std::cout << ", afterwards " << ReadStatus(process, "VmRSS:") / 1024 << " MiB" << std::flush;
+    CPPUNIT_ASSERT(hasReturned);
+  }
+
 private:
+  static PlatformOptions MakeOptions()
+  {
+    return { "memory = " + std::to_string(kMemoryMiB) +
+               "\ndescriptors = " + std::to_string(kDescriptors) + "\n",
+             json{ { "MaxBodyBytes", kMaxBodyBytes }, { "IdleTimeoutMs", 60'000 } } };
+  }
+
   // Has a crowd play its script at the first entry, and checks the entry while the connections are
   // still open.
   void Play(std::size_t aCallers, Script aScript)
   {
-    PlatformDeployment deployment(
-      PlatformOptions{ "memory = " + std::to_string(kMemoryMiB) +
-                         "\ndescriptors = " + std::to_string(kDescriptors) + "\n",
-                       json{ { "MaxBodyBytes", kMaxBodyBytes }, { "IdleTimeoutMs", 60'000 } } });
+    PlatformDeployment deployment(MakeOptions());
     harness::Process& entry = deployment.entries[0];
     const std::string process = "/proc/" + std::to_string(entry.Pid());
     std::size_t descriptors = 0;
