Give admin addresses limits of their own

An admin address accepted bodies of 16 MiB on 4,096 connections, although its requests have none. It now accepts 4 KiB on 64 connections, with 5 s for a request and for each write.

--- a/src/runtime/AdminPages.h
+++ b/src/runtime/AdminPages.h
@@ -21,6 +21,14 @@
   std::function<std::string()> rules; // Text for /rules; if empty, the path does not exist.
 };
 
+// The limits of an admin address: its requests have no body, and come from the balancer and a few
+// operators.
+inline constexpr HttpLimits kAdminLimits{ .bodyBytes = 4096,
+                                          .connections = 64,
+                                          .headerTimeout = std::chrono::seconds(5),
+                                          .bodyTimeout = std::chrono::seconds(5),
+                                          .writeTimeout = std::chrono::seconds(5) };
+
 // Serves one admin request, from an operator or from the balancer's health check. aSource must
 // outlive the coroutine.
 asio::awaitable<void>
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -118,7 +118,7 @@
            [this] { return this->MakeDump(); },
            [this] { return this->table ? this->table->Format() : std::string(); } }
   , admin(this->context,
-          HttpLimits{},
+          kAdminLimits,
           [this](HttpRequest aRequest, HttpExchange& aExchange) {
             return ServeAdminPage(this->pages, std::move(aRequest), aExchange);
           })
--- a/src/runtime/Node.cpp
+++ b/src/runtime/Node.cpp
@@ -59,7 +59,7 @@
            [this] { return this->MakeDump(); },
            {} }
   , admin(this->context,
-          HttpLimits{},
+          kAdminLimits,
           [this](HttpRequest aRequest, HttpExchange& aExchange) {
             return ServeAdminPage(this->pages, std::move(aRequest), aExchange);
           })
--- a/test/OpenClientsTest.cpp
+++ b/test/OpenClientsTest.cpp
@@ -183,6 +183,7 @@
   CPPUNIT_TEST(UnreadResponses);
   CPPUNIT_TEST(SilentConnections);
   CPPUNIT_TEST(MemoryDoesNotAddUpOverRounds);
+  CPPUNIT_TEST(OpenBodiesAtTheAdminAddress);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -270,6 +271,12 @@
     CPPUNIT_ASSERT(hasReturned);
   }
 
+  // Guards against limits that hold at the callers' address only.
+  void OpenBodiesAtTheAdminAddress()
+  {
+    this->Play(kManyCallers, { LengthHead(kMaxBodyBytes), "x", kMaxBodyBytes - kKiB }, ":7001");
+  }
+
 private:
   static PlatformOptions MakeOptions()
   {
@@ -280,13 +287,13 @@
 
   // Has a crowd play its script at the first entry, and checks the entry while the connections are
   // still open.
-  void Play(std::size_t aCallers, Script aScript)
+  void Play(std::size_t aCallers, Script aScript, const std::string& aPort = ":7080")
   {
     PlatformDeployment deployment(MakeOptions());
     harness::Process& entry = deployment.entries[0];
     const std::string process = "/proc/" + std::to_string(entry.Pid());
     std::size_t descriptors = 0;
-    Crowd crowd(deployment.EntryIp(1) + ":7080", aCallers, std::move(aScript));
+    Crowd crowd(deployment.EntryIp(1) + aPort, aCallers, std::move(aScript));
     const auto observe = [&] { descriptors = std::max(descriptors, CountDescriptors(process)); };
     crowd.Send(observe);
     AwaitSettled(deployment.EntryIp(1), process, observe);
@@ -326,13 +333,12 @@
     }
   }
 
-  // Returns the bytes that the kernel holds for the callers' connections of an entry.
+  // Returns the bytes that the kernel holds for the connections of an entry.
   static std::size_t UnreadBytes(const std::string& aIp)
   {
-    std::ostringstream
-      local; // As the kernel prints it: the address in memory order, then the port.
+    std::ostringstream local; // As the kernel prints it: the address in memory order.
     local << std::uppercase << std::hex << std::setfill('0') << std::setw(8)
-          << htonl(asio::ip::make_address_v4(aIp).to_uint()) << ':' << std::setw(4) << 7080;
+          << htonl(asio::ip::make_address_v4(aIp).to_uint()) << ':';
     std::ifstream table("/proc/net/tcp");
     std::size_t bytes = 0;
     for (std::string line; std::getline(table, line);) {
@@ -343,7 +349,7 @@
       std::string state;
       std::string queues; // "sent:received", in hexadecimal digits.
       words >> slot >> address >> remote >> state >> queues;
-      if (address == local.str() && queues.find(':') != std::string::npos) {
+      if (address.starts_with(local.str()) && queues.find(':') != std::string::npos) {
         bytes += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
       }
     }
