Bound what callers make an entry beside sidecars hold

EntryDaemon passes a ledger to its server, with the new setting memory of [entry]: at least four of the largest bodies, by default 512 MiB or four bodies.

PlatformTest::InvalidSettingsAreReported and PathTest pass.

--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -65,6 +65,7 @@
 
 EntryDaemon::EntryDaemon(const EntrySettings& aSettings)
   : settings(aSettings)
+  , ledger(CallerMemory(aSettings.memory))
   , node(aSettings.node,
          NodeHooks{
            [this](Envelope aEnvelope) { this->Step(MessageReceived{ std::move(aEnvelope) }); },
@@ -85,16 +86,21 @@
   , reducer(EntryConfig{ .address = aSettings.node.address,
                          .domain = aSettings.node.domain,
                          .seed = this->node.Incarnation() })
-  , server(this->node.Context(),
-           HttpLimits{ .headerBytes = aSettings.headerBytes,
-                       .bodyBytes = aSettings.bodyBytes,
-                       .connections = aSettings.connections,
-                       .headerTimeout = aSettings.readTimeout,
-                       .bodyTimeout = aSettings.readTimeout },
-           [this](HttpRequest aRequest, HttpExchange& aExchange) {
-             return this->Serve(std::move(aRequest), aExchange);
-           })
+  , server(
+      this->node.Context(),
+      HttpLimits{ .headerBytes = aSettings.headerBytes,
+                  .bodyBytes = aSettings.bodyBytes,
+                  .connections = aSettings.connections,
+                  .headerTimeout = aSettings.readTimeout,
+                  .bodyTimeout = aSettings.readTimeout },
+      [this](HttpRequest aRequest, HttpExchange& aExchange) {
+        return this->Serve(std::move(aRequest), aExchange);
+      },
+      &this->ledger)
 {
+  this->server.SetRefusalHandler([this](HttpRefusal aRefusal) {
+    this->node.ProcessMetrics().Count("caller_refusals", ToString(aRefusal));
+  });
   this->server.SetErrorBodyFormatter([](int aStatus, const std::string& aMessage) {
     return FormatErrorBody(aStatus, "http_" + std::to_string(aStatus), aMessage);
   });
--- a/src/runtime/EntryDaemon.h
+++ b/src/runtime/EntryDaemon.h
@@ -73,6 +73,7 @@
   void RecordFirstToken(const CallerSession& aSession);
 
   EntrySettings settings;
+  MemoryLedger ledger; // Outlives the node, whose coroutines have accounts in it.
   Node node;
   EntryReducer reducer;
   HttpServer server;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -24,16 +24,8 @@
 // File descriptors reserved for files, peer connections and the store.
 constexpr std::uint32_t kReservedDescriptors = 300;
 
-// What callers may hold, one part in this many of the memory of the process, and what attempts may
-// buffer of responses. The process at rest and the allocator's overhead take the rest.
-constexpr std::uint64_t kCallerShare = 2;
-constexpr std::uint64_t kAttemptShare = 8;
-
-std::uint64_t
-MebiBytes(std::uint32_t aMebiBytes)
-{
-  return std::uint64_t{ aMebiBytes } * 1024 * 1024;
-}
+// What attempts may buffer of responses, as a part of what callers may hold.
+constexpr std::uint64_t kAttemptShare = 4;
 
 HttpLimits
 MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
@@ -62,18 +54,19 @@
 ForwardDaemon::ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath)
   : settings(std::move(aSettings))
   , settingsPath(std::move(aSettingsPath))
-  , ledger(MebiBytes(this->settings.memory) / kCallerShare)
+  , ledger(CallerMemory(this->settings.memory))
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
-  , reducer(ForwardConfig{ .name = this->settings.name,
-                           .address = this->settings.peerAddress,
-                           .domain = this->settings.domain,
-                           .seed = this->incarnation,
-                           .retryRatio = this->settings.retryRatio,
-                           .retrySlack = this->settings.retrySlack,
-                           .reservationLease = this->settings.reservationLease,
-                           .changeBound = this->settings.changeBound,
-                           .maxBufferedBytes = MebiBytes(this->settings.memory) / kAttemptShare })
+  , reducer(
+      ForwardConfig{ .name = this->settings.name,
+                     .address = this->settings.peerAddress,
+                     .domain = this->settings.domain,
+                     .seed = this->incarnation,
+                     .retryRatio = this->settings.retryRatio,
+                     .retrySlack = this->settings.retrySlack,
+                     .reservationLease = this->settings.reservationLease,
+                     .changeBound = this->settings.changeBound,
+                     .maxBufferedBytes = CallerMemory(this->settings.memory) / kAttemptShare })
   , bus(
       this->context,
       this->settings.peerAddress,
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -230,6 +230,21 @@
     });
 }
 
+// The largest memory of a process, in MiB.
+constexpr std::int64_t kMaxMemory = 1'000'000;
+
+// Returns the least memory, in MiB, with which one body of the largest size is served: callers hold
+// at most half of it, and a large body has to be granted beside others.
+std::int64_t
+MemoryForBodies(const EntrySettings& aSettings)
+{
+  static constexpr std::uint64_t kBodies = 4;
+  static constexpr std::uint64_t kMebiByte = 1024ULL * 1024;
+  static constexpr std::uint64_t kMinMemory = 32;
+  const std::uint64_t bytes = kBodies * aSettings.bodyBytes;
+  return static_cast<std::int64_t>(std::max(kMinMemory, (bytes + kMebiByte - 1) / kMebiByte));
+}
+
 } // namespace
 
 std::optional<EntrySettings>
@@ -248,6 +263,9 @@
   entry.ReadDuration("drain_delay", settings.drainDelay);
   entry.ReadInteger("header_bytes", settings.headerBytes, 1024, 1024 * 1024);
   entry.ReadInteger("body_bytes", settings.bodyBytes, 1024, kMaxBodyBytes);
+  settings.memory =
+    std::max(settings.memory, static_cast<std::uint32_t>(MemoryForBodies(settings)));
+  entry.ReadInteger("memory", settings.memory, MemoryForBodies(settings), kMaxMemory);
   entry.ReadInteger("connections", settings.connections, 1, 100'000);
   entry.ReadDuration("read_bound", settings.readTimeout);
   entry.ReportUnknownKeys();
@@ -260,7 +278,6 @@
 {
   static constexpr std::int64_t kMaxDescriptors = 1'000'000;
   static constexpr std::int64_t kMinMemory = 32; // The process at rest takes about half of it.
-  static constexpr std::int64_t kMaxMemory = 1'000'000;
   static constexpr std::int64_t kMaxSample = 1'000'000;
   const auto root = ParseToml(aText, aErrors);
   if (!root) {
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -22,6 +22,14 @@
   std::string vmListAddress; // The platform's VM list.
 };
 
+// Returns how many bytes callers may make a process hold that may take aMebiBytes of memory. The
+// process at rest, responses that arrive and the allocator's overhead take the rest.
+inline std::uint64_t
+CallerMemory(std::uint32_t aMebiBytes)
+{
+  return std::uint64_t{ aMebiBytes } * 1024 * 1024 / 2;
+}
+
 // The settings of an entry beside sidecars.
 struct EntrySettings
 {
@@ -30,7 +38,10 @@
   Duration drainDelay = std::chrono::seconds(2); // From failing /readyz to refusing connections.
   std::uint32_t headerBytes = 16 * 1024;         // Largest request header.
   std::uint64_t bodyBytes = 16 * 1024 * 1024;    // Largest request body.
-  std::uint32_t connections = 4096;              // Limit on open connections of callers.
+  // Resident memory of the process, in MiB; at least four bodies. If it is not set, 512 or four
+  // bodies.
+  std::uint32_t memory = 512;
+  std::uint32_t connections = 4096; // Limit on open connections of callers.
   Duration readTimeout =
     std::chrono::seconds(30); // For a request's header, and again for its body.
 };
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -357,6 +357,16 @@
     CPPUNIT_ASSERT(!ParseForwardSettings(validSettings + "memory = 31\n", errors));
     CPPUNIT_ASSERT_EQUAL(std::size_t(8), errors.at(0).line);
     CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
+
+    // The memory of an entry beside sidecars has to fit its largest body.
+    const std::string entrySettings =
+      "[node]\naddress = \"10.0.0.1:1\"\nadmin_address = \"10.0.0.1:2\"\ndomain = \"d\"\n"
+      "[platform]\nlog_address = \"10.0.0.1:3\"\nvm_list_address = \"10.0.0.1:4\"\n"
+      "[entry]\nhttp_address = \"10.0.0.1:5\"\nbody_bytes = 268435456\n";
+    errors.clear();
+    CPPUNIT_ASSERT_EQUAL(1024U, ParseEntrySettings(entrySettings, errors).value().memory);
+    CPPUNIT_ASSERT(!ParseEntrySettings(entrySettings + "memory = 1023\n", errors));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(11), errors.at(0).line);
   }
 };
 
