--- a/src/net/PeerBus.cpp
+++ b/src/net/PeerBus.cpp
@@ -18,7 +18,6 @@
 constexpr nng_duration kRedialMinMs = 50;
 constexpr nng_duration kRedialMaxMs = 500;
 constexpr std::size_t kMaxQueuedMessages = 20'000;
-constexpr std::size_t kMaxFrameBytes = 64 * 1024 * 1024;
 constexpr auto kMalformedReportInterval = std::chrono::seconds(10);
 constexpr auto kIdleTimeout = std::chrono::seconds(60);
 
@@ -199,13 +198,14 @@
 public:
   Listener(boost::asio::io_context& aContext,
            PeerBus::Handler aHandler,
-           std::shared_ptr<std::uint64_t> aMalformed)
+           std::shared_ptr<std::uint64_t> aMalformed,
+           std::size_t aMaxFrameBytes)
     : context(aContext)
     , handler(std::move(aHandler))
     , malformed(std::move(aMalformed))
   {
     CHECK_EQ(nng_pull0_open(&this->socket), 0);
-    nng_socket_set_size(this->socket, NNG_OPT_RECVMAXSZ, kMaxFrameBytes);
+    nng_socket_set_size(this->socket, NNG_OPT_RECVMAXSZ, aMaxFrameBytes);
     CHECK_EQ(nng_aio_alloc(&this->aio, &Listener::OnReceived, this), 0);
   }
 
@@ -297,7 +297,8 @@
 bool
 PeerBus::Listen(const std::string& aListenAddress, std::string& aReason)
 {
-  this->listener = std::make_unique<Listener>(this->context, this->handler, this->malformed);
+  this->listener =
+    std::make_unique<Listener>(this->context, this->handler, this->malformed, this->maxFrameBytes);
   return this->listener->Listen(aListenAddress, aReason);
 }
 
--- a/src/net/PeerBus.h
+++ b/src/net/PeerBus.h
@@ -44,6 +44,13 @@
   PeerBus(const PeerBus&) = delete;
   PeerBus& operator=(const PeerBus&) = delete;
 
+  // The largest message that is received unless the owner sets another limit, in bytes.
+  static constexpr std::size_t kMaxFrameBytes = 64 * 1024 * 1024;
+
+  // Sets the largest message that is received from now on, in bytes. A connection that announces a
+  // larger one is closed. Call it before Listen().
+  void SetMaxFrameBytes(std::size_t aBytes) { this->maxFrameBytes = aBytes; }
+
   // Starts to listen on an ip:port address. On failure returns false and sets aReason.
   bool Listen(const std::string& aListenAddress, std::string& aReason);
 
@@ -92,6 +99,7 @@
   boost::asio::io_context& context;
   std::string address;
   std::uint64_t incarnation;
+  std::size_t maxFrameBytes = kMaxFrameBytes;
   Handler handler;
   SendTimeoutHandler onSendTimeout;
   std::unique_ptr<Listener> listener;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -27,6 +27,11 @@
 // What attempts may buffer of responses, as a part of what callers may hold.
 constexpr std::uint64_t kAttemptShare = 4;
 
+// The largest message of a peer, as a part of what callers may hold. The largest one that peers
+// send is a configuration.
+constexpr std::uint64_t kFrameShare = 8;
+constexpr std::size_t kMinFrameBytes = 4 * 1024 * 1024;
+
 HttpLimits
 MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
 {
@@ -138,6 +143,8 @@
       return 1;
     }
   }
+  this->bus.SetMaxFrameBytes(std::clamp<std::size_t>(
+    CallerMemory(this->settings.memory) / kFrameShare, kMinFrameBytes, PeerBus::kMaxFrameBytes));
   if (!this->bus.Listen(this->settings.peerAddress, reason)) {
     LOG(ERROR) << "[forward] cannot listen on " << this->settings.peerAddress << ": " << reason;
     return 1;
--- a/test/OpenClientsTest.cpp
+++ b/test/OpenClientsTest.cpp
@@ -184,6 +184,7 @@
   CPPUNIT_TEST(SilentConnections);
   CPPUNIT_TEST(MemoryDoesNotAddUpOverRounds);
   CPPUNIT_TEST(OpenBodiesAtTheAdminAddress);
+  CPPUNIT_TEST(OpenFramesAtThePeerAddress);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -277,6 +278,15 @@
     this->Play(kManyCallers, { LengthHead(kMaxBodyBytes), "x", kMaxBodyBytes - kKiB }, ":7001");
   }
 
+  // Guards against frames of any announced size. Sends the handshake of a peer and the start of a
+  // frame that announces just below 64 MiB.
+  void OpenFramesAtThePeerAddress()
+  {
+    using namespace std::string_literals;
+    const std::string head = "\0SP\0\0\x50\0\0"s + "\0\0\0\0\x03\xff\xff\xff"s;
+    this->Play(kFewCallers, { head, "x", kBytesPerCaller }, ":7000");
+  }
+
 private:
   static PlatformOptions MakeOptions()
   {
