--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -391,6 +391,9 @@
   Duration changeBound = std::chrono::seconds(2);
   // Requests that all entries together may send to a cold target.
   ColdBound coldBound;
+  // What all attempts may buffer of responses together. Beyond it, those with more than an equal
+  // share are aborted.
+  std::uint64_t maxBufferedBytes = 64ULL * 1024 * 1024;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
