--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // The smallest block that the allocator maps by itself, in bytes.
-constexpr int kMappedBytes = 128 * 1024;
+constexpr int kMappedBytes = 64 * 1024;
 
 // Runs an entry that forwards requests to targets itself, without sidecars.
 int
