Test the report of a long prompt on an entry that has settled

LongPromptIsReportedToOtherDomainsAtOnce sent its prompt in the first moment of an entry that has not heard its neighbours. Since long prompts wait there for load reports, the test lets the first second pass; what it demands of the placement that follows is unchanged.

--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -261,6 +261,7 @@
     driver.Step(TargetsChanged{
       { { "engine-1",
           { .instance = "engine-1", .service = "engines", .address = "1.2.3.4:5" } } } });
+    driver.AdvanceTime(std::chrono::seconds(1)); // Right after its start a long prompt waits.
     const auto reportsOf = [&](std::uint32_t aTokens) {
       driver.reports.clear();
       driver.SendPrompt(aTokens);
