Never refuse a long prompt that delays nobody for its own delay

ForwardPathTest::PromptLargerThanOneEngineIsSplit failed after the admission by cost: a prompt of 450,000 tokens, alone on three idle engines, was refused with 'the prompt would delay too many other streams', as its own predicted delay counted towards its cost. Callers inside the limits in calm must be served.

A long prompt is now refused for its cost only if others lose at least one short request by it. The test passes again; it is unchanged.

--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -70,6 +70,9 @@
 constexpr double kLateFirstEventLoss = 0.75;
 constexpr double kAbandonObjectives = 3;
 
+// A long prompt that costs others less than one short request is never refused for its own delay.
+constexpr double kNoticeableCost = 1;
+
 // Cost of each further helper, in short requests: the calls of two reservation commands.
 constexpr double kHelperWeight = 0.02;
 
@@ -285,11 +288,12 @@
          EstimatePassMs(traits, 1, aRequest.promptTokens);
 }
 
-// The number of engines that prefill a long prompt, and what that costs all callers.
+// The number of engines that prefill a long prompt, and what that costs callers, in short requests.
 struct PartChoice
 {
   std::size_t parts = 1;
-  double cost = 0; // In short requests.
+  double cost = std::numeric_limits<double>::max(); // To all callers,
+  double costToOthers = 0;                          // and without its own delay.
 };
 
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
@@ -301,25 +305,24 @@
   const double prefillMs = EstimatePrefillMs(traits, aRequest.promptTokens);
   const double weight = aRequest.promptTokens / kTokensPerWeight;
   const std::size_t maxParts = std::min(aSorted.size(), kMaxHelpers + 1);
-  std::size_t best = 1;
-  double bestCost = std::numeric_limits<double>::max();
+  PartChoice best;
   for (std::size_t parts = 1; parts <= maxParts; ++parts) {
     const double firstEventMs = FirstEventMs(aRequest, aSorted, parts);
     const double objectiveMs = ToMs(aRequest.objective);
-    double cost = weight * (kLateFirstEventLoss * MissProbability(firstEventMs, objectiveMs) +
-                            (1 - kLateFirstEventLoss) *
-                              MissProbability(firstEventMs, kAbandonObjectives * objectiveMs)) +
-                  kHelperWeight * static_cast<double>(parts);
+    double costToOthers = kHelperWeight * static_cast<double>(parts);
     for (std::size_t i = 0; i < parts; ++i) {
-      cost +=
+      costToOthers +=
         InterferenceCost(aRequest, traits, aSorted[i], prefillMs / static_cast<double>(parts));
     }
-    if (cost < bestCost) {
-      bestCost = cost;
-      best = parts;
+    const double cost =
+      costToOthers + weight * (kLateFirstEventLoss * MissProbability(firstEventMs, objectiveMs) +
+                               (1 - kLateFirstEventLoss) *
+                                 MissProbability(firstEventMs, kAbandonObjectives * objectiveMs));
+    if (cost < best.cost) {
+      best = { parts, cost, costToOthers };
     }
   }
-  return { best, bestCost };
+  return best;
 }
 
 bool
@@ -434,7 +437,8 @@
   const std::size_t maxParts = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
   const PartChoice choice = isShort ? PartChoice{} : ChoosePartCount(aRequest, aCandidates);
-  if (!isShort && choice.cost > aRequest.maxCostShare * aRequest.promptTokens / kTokensPerWeight) {
+  if (!isShort && choice.costToOthers >= kNoticeableCost &&
+      choice.cost > aRequest.maxCostShare * aRequest.promptTokens / kTokensPerWeight) {
     placement.status = PlacementStatus::TooCostly;
     placement.waitMs = FirstEventMs(aRequest, aCandidates, choice.parts);
     return placement;
