--- a/test/OpenClientsTest.cpp
+++ b/test/OpenClientsTest.cpp
@@ -270,6 +270,12 @@
       kAwaitTimeout, [&] { return ReadStatus(process, "VmRSS:") < kMemoryMiB / 2 * 1024; });
     std::cout << ", afterwards " << ReadStatus(process, "VmRSS:") / 1024 << " MiB" << std::flush;
     CPPUNIT_ASSERT(hasReturned);
+    // An account that is not closed would take its share of the capacity for good.
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      const std::string metrics =
+        harness::SendHttpRequest(deployment.EntryIp(1) + ":7001", "GET", "/metrics").body;
+      return metrics.find("sycamorepost_caller_memory_bytes 0\n") != std::string::npos;
+    }));
   }
 
   // Guards against limits that hold at the callers' address only.
