--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -386,6 +386,8 @@
   Duration reservationLease = std::chrono::seconds(3);
   // The time within which a new version of the configuration must be in force.
   Duration changeBound = std::chrono::seconds(2);
+  // Whether placement takes into account how fast each target has proved to be; see TargetPace.
+  bool learnPace = true;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
@@ -415,6 +417,9 @@
   // Returns which failure domains are evacuated.
   const EvacuationView& Evacuations() const;
 
+  // Returns the number of targets that are known to be slow.
+  std::size_t SlowTargets() const;
+
   // Returns the rank of this entry among the live ones of its failure domain; see EntryGroup.
   std::size_t DomainRank(Instant aNow) const;
 
--- a/include/sycamorepost/forward/load/LoadTracker.h
+++ b/include/sycamorepost/forward/load/LoadTracker.h
@@ -67,6 +67,9 @@
   std::vector<TargetLoadReport> TakeChanges(Instant aNow);
   bool HasChanges() const { return !this->changedInstances.empty(); }
 
+  // Includes a target in the next changes although this entry's load there is the same.
+  void ReportAgain(const std::string& aInstance) { this->changedInstances.insert(aInstance); }
+
   // Returns all of this entry's own load.
   std::vector<TargetLoadReport> Snapshot(Instant aNow) const;
 
--- a/include/sycamorepost/forward/load/TargetLoadReport.h
+++ b/include/sycamorepost/forward/load/TargetLoadReport.h
@@ -10,7 +10,7 @@
 
 namespace sycamorepost {
 
-// One entry's load on one target.
+// One entry's load on one target, and its view of the target.
 struct TargetLoadReport
 {
   std::string instance;
@@ -19,6 +19,10 @@
   std::uint64_t kvTokens = 0;      // Tokens of KV cache.
   double prefillMs = 0;            // Remaining prefill time.
   double pendingPrefillMs = 0;     // Prefill time of requests without a first event.
+  // The reporter's view of how fast the target is; see TargetPace.
+  std::uint32_t pacePercent = 0; // Its times in percent of the predicted ones.
+  std::uint32_t paceSamples = 0; // 0 when the reporter has no view.
+  std::uint32_t paceAgeMs = 0;   // Age of the newest sample.
 };
 
 // The load of all entries of one failure domain on the targets, as reported to other domains.
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/load/TargetPace.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 #include "sycamorepost/forward/targets/TargetNotices.h"
@@ -32,6 +33,7 @@
   std::set<std::string> triedInstances;        // Instances that must not be used again.
   const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
   const EvacuatedDomains* evacuated = nullptr; // May be null.
+  const TargetPace* pace = nullptr;            // May be null: all targets are equally fast.
   std::string domain;                          // The failure domain of the entry.
   bool hearsNeighbours = true; // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
@@ -89,6 +91,7 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PlacedWork> placedWork; // The load that it adds, by target.
   double firstEventMs = 0;            // Predicted time to the first event; 0 for a plain call.
+  double paceFactor = 1;              // That of the target, which the prediction contains.
   double waitMs = 0;                  // When full or paused: time until there is capacity.
 };
 
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -135,13 +135,51 @@
 SYCAMOREPOST_WIRE(SegmentTransferReply, attempt, index, stored)
 SYCAMOREPOST_WIRE(SegmentStored, attempt, index)
 SYCAMOREPOST_WIRE(SegmentMoved, attempt, index, location)
-SYCAMOREPOST_WIRE(TargetLoadReport,
-                  instance,
-                  running,
-                  strictStreams,
-                  kvTokens,
-                  prefillMs,
-                  pendingPrefillMs)
+
+// The view of the target's pace is left out when there is none, as in reports of versions without
+// it.
+static void
+to_json(json& aJson, const TargetLoadReport& aValue)
+{
+  aJson = ToArray(aValue.instance,
+                  aValue.running,
+                  aValue.strictStreams,
+                  aValue.kvTokens,
+                  aValue.prefillMs,
+                  aValue.pendingPrefillMs);
+  if (aValue.paceSamples > 0) {
+    aJson.push_back(aValue.pacePercent);
+    aJson.push_back(aValue.paceSamples);
+    aJson.push_back(aValue.paceAgeMs);
+  }
+}
+
+static void
+from_json(const json& aJson, TargetLoadReport& aValue)
+{
+  static constexpr std::size_t kFieldsWithoutPace = 6;
+  if (aJson.is_array() && aJson.size() == kFieldsWithoutPace) {
+    FromArray(aJson,
+              aValue.instance,
+              aValue.running,
+              aValue.strictStreams,
+              aValue.kvTokens,
+              aValue.prefillMs,
+              aValue.pendingPrefillMs);
+    return;
+  }
+  FromArray(aJson,
+            aValue.instance,
+            aValue.running,
+            aValue.strictStreams,
+            aValue.kvTokens,
+            aValue.prefillMs,
+            aValue.pendingPrefillMs,
+            aValue.pacePercent,
+            aValue.paceSamples,
+            aValue.paceAgeMs);
+}
+
 SYCAMOREPOST_WIRE(EntryLoad, reports, isSnapshot, version)
 SYCAMOREPOST_WIRE(AbortNotice, fingerprint)
 SYCAMOREPOST_WIRE(TargetLeavingNotice, instance, startedAtMs)
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -67,6 +67,8 @@
   bool delivered = false;        // At least one of its events was passed on.
   bool isStalled = false;        // Its target has sent nothing for too long.
   std::uint32_t eventCount = 0;  // Complete events received.
+  Instant lastEventAt;           // When the last one was received.
+  std::uint32_t runningBefore = 0; // Requests on the target when it was sent.
   std::size_t bufferedBytes = 0; // Of the body and the incomplete event, as counted in the total.
   EventStreamParser events;
 };
@@ -166,6 +168,7 @@
   bool Ready() const;
   const EntryGroup& Entries() const { return this->group; }
   const EvacuationView& Evacuations() const { return this->evacuated.View(); }
+  std::size_t SlowTargets() const { return this->pace.SlowCount(); }
   std::size_t DomainRank(Instant aNow) const;
   nlohmann::json Dump(Instant aNow) const;
 
@@ -243,6 +246,13 @@
   void ReleaseReservations(std::vector<internal::HelperReservation>& aReservations);
   void SendRelease(internal::PendingRelease aRelease);
 
+  // The pace of targets.
+  void SampleEvents(internal::Attempt& aAttempt, std::uint32_t aNewEvents);
+  void SampleCall(const internal::RequestState& aState);
+  void RefreshPace();
+  std::vector<TargetLoadReport> TakeLoadChanges();
+  std::vector<TargetLoadReport> LoadSnapshot();
+
   // Timers, budgets, peers and logging.
   void SetWake(internal::RequestState& aState);
   RetryBudget& BudgetOf(const std::string& aService);
@@ -270,6 +280,7 @@
   std::shared_ptr<const RouteTable> table; // Null until the first routes are known.
   std::map<std::string, RegisteredTarget> targets;
   LoadTracker loadTracker;
+  TargetPace pace;
   TargetNotices notices;
   EvacuatedDomains evacuated;
   ConfigurationFetcher fetcher;
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -81,6 +81,7 @@
     // A target that restarted under its old instance id has lost all of its work.
     if (removed || found->second.startedAtMs != target.startedAtMs) {
       this->loadTracker.RemoveTarget(instance);
+      this->pace.RemoveTarget(instance);
     }
   }
   this->targets = aChanged.targets;
@@ -112,7 +113,7 @@
   if (isNew) {
     // A peer that has just started does not know the load of this entry, and has none of its
     // earlier incarnation.
-    std::vector<TargetLoadReport> loads = this->loadTracker.Snapshot(this->now);
+    std::vector<TargetLoadReport> loads = this->LoadSnapshot();
     if (!loads.empty()) {
       this->effects.emplace_back(BroadcastLoad{ std::move(loads), true, { aReport.peer } });
     }
@@ -129,6 +130,7 @@
     this->loadTracker.RemovePeer(aReport.peer);
   }
   this->loadTracker.ApplyReport(aReport.peer, aReport.loads, this->now);
+  this->pace.ApplyReport(aReport.peer, false, aReport.loads, this->now);
 }
 
 // Each report is complete, so a lost one, or one that arrives after a newer one, does no lasting
@@ -149,6 +151,7 @@
   const std::string peer = kDomainPrefix + aReport.domain;
   this->loadTracker.RemovePeer(peer);
   this->loadTracker.ApplyReport(peer, aReport.loads, this->now);
+  this->pace.ApplyReport(peer, true, aReport.loads, this->now);
   const std::size_t entries =
     std::min<std::size_t>(aReport.entries, this->group.CountOf(aReport.domain));
   this->domains[aReport.domain] = { entries, this->now };
@@ -268,6 +271,9 @@
     load.prefillMs = std::round(load.prefillMs);
     load.pendingPrefillMs = std::round(load.pendingPrefillMs);
   }
+  if (this->config.learnPace) {
+    this->pace.AddDomainViews(report.loads, this->now);
+  }
   this->effects.emplace_back(SendDomainLoad{ std::move(report), relays });
 }
 
@@ -295,10 +301,11 @@
     this->broadcastAt = this->now;
   }
   this->RunCrashWork();
+  this->RefreshPace();
   if (this->now >= this->broadcastAt) {
     this->broadcastAt = Instant::max();
     this->effects.emplace_back(
-      BroadcastLoad{ this->loadTracker.TakeChanges(this->now), false, this->group.DirectPeers() });
+      BroadcastLoad{ this->TakeLoadChanges(), false, this->group.DirectPeers() });
   }
   if (this->now >= this->domainReportAt) {
     this->domainReportAt = this->now + kDomainReportInterval * kDomainReporters;
@@ -534,6 +541,7 @@
                         { "as_of_offset", this->evacuated.View().offset } };
   for (const auto& [instance, target] : this->targets) {
     const TargetLoad load = this->loadTracker.LoadOf(instance, aNow);
+    const PaceView view = this->pace.ViewOf(instance, aNow);
     dump["targets"][instance] = { { "service", target.service },
                                   { "address", target.address },
                                   { "domain", target.domain },
@@ -544,7 +552,10 @@
                                   { "memory_tokens", load.kvTokens },
                                   { "read_ms", load.PrefillMs(aNow) },
                                   { "failure_share", this->loadTracker.FailureRate(instance) },
-                                  { "suspected", this->loadTracker.IsAvoided(instance, aNow) } };
+                                  { "suspected", this->loadTracker.IsAvoided(instance, aNow) },
+                                  { "pace_factor", view.factor },
+                                  { "pace_samples", view.samples },
+                                  { "pace_age_ms", ToMillis(view.age) } };
   }
   for (const auto& [handle, state] : this->requests) {
     dump["requests"].push_back(
@@ -625,6 +636,12 @@
   return this->impl->Evacuations();
 }
 
+std::size_t
+ForwardReducer::SlowTargets() const
+{
+  return this->impl->SlowTargets();
+}
+
 std::size_t
 ForwardReducer::DomainRank(Instant aNow) const
 {
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -69,6 +69,9 @@
 constexpr double kLateFirstEventLoss = 0.75;
 constexpr double kAbandonObjectives = 3;
 
+// Passes of a response whose delay on a slow engine counts: a third of a typical response.
+constexpr double kDecodePasses = 10;
+
 // Cost of each further helper, in short requests: the calls of two reservation commands.
 constexpr double kHelperWeight = 0.02;
 
@@ -102,7 +105,8 @@
       exclusion == Exclusion::None || (aIncludeAvoided && exclusion == Exclusion::Avoided);
     if (usable) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
-      candidate.prefillMs = candidate.load.PrefillMs(aNow);
+      candidate.paceFactor = aRequest.pace ? aRequest.pace->FactorOf(instance) : 1;
+      candidate.prefillMs = candidate.load.PrefillMs(aNow) * candidate.paceFactor;
       candidates.push_back(candidate);
     }
   }
@@ -153,7 +157,7 @@
 }
 
 // A plain call waits for the calls before it. Their duration is unknown, so a position in the queue
-// counts as much as a round trip.
+// counts as much as a round trip. On a slow target it costs more, and so does the call itself.
 Placement
 PlacePlain(const PlacementRequest& aRequest,
            std::vector<Candidate> aCandidates,
@@ -164,8 +168,10 @@
     const double load =
       static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
     candidate.cost =
-      load * 2 * kRemoteDomainMs + CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
-    candidate.cost += load >= 1 ? 2 * kRemoteDomainMs : 0;
+      load * 2 * kRemoteDomainMs * candidate.paceFactor +
+      CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
+    candidate.cost += load >= 1 ? 2 * kRemoteDomainMs * candidate.paceFactor : 0;
+    candidate.cost += (candidate.paceFactor - 1) * 2 * kRemoteDomainMs;
   }
   SortByCost(aCandidates, aRandom);
   Placement placement;
@@ -181,7 +187,8 @@
 {
   const double decodingRequests = aCandidate.load.running;
   const double pass =
-    EstimatePassMs(aTraits, decodingRequests, static_cast<double>(aCandidate.load.kvTokens));
+    EstimatePassMs(aTraits, decodingRequests, static_cast<double>(aCandidate.load.kvTokens)) *
+    aCandidate.paceFactor;
   double wait = aCandidate.prefillMs + pass / 2;
   if (decodingRequests >= aTraits.slots) {
     // Each request ahead in the queue needs a running one to end.
@@ -217,11 +224,14 @@
 double
 DecodeCost(const EngineTraits& aTraits, const Candidate& aCandidate)
 {
+  const double passMs = EstimatePassMs(
+    aTraits, aCandidate.load.running + 1, static_cast<double>(aCandidate.load.kvTokens));
   const double memory = static_cast<double>(aCandidate.load.kvTokens) /
                         std::max<double>(1, static_cast<double>(aTraits.kvCapacityTokens));
   const bool hasOwnKind = aCandidate.load.running > aCandidate.load.strictStreams;
   return aCandidate.waitMs + aCandidate.load.strictStreams * kStrictStreamMs +
-         memory * kFullMemoryMs - (hasOwnKind ? kFirstOfKindMs : 0);
+         memory * kFullMemoryMs - (hasOwnKind ? kFirstOfKindMs : 0) +
+         (aCandidate.paceFactor - 1) * passMs * kDecodePasses;
 }
 
 // Moves the engine that decodes to the front; the others keep their order.
@@ -245,8 +255,9 @@
 {
   const double gap = EstimatePassMs(aTraits,
                                     aCandidate.load.running,
-                                    static_cast<double>(aCandidate.load.kvTokens)) +
-                     aCandidate.prefillMs + aPartMs;
+                                    static_cast<double>(aCandidate.load.kvTokens)) *
+                       aCandidate.paceFactor +
+                     aCandidate.prefillMs + aPartMs * aCandidate.paceFactor;
   return aCandidate.load.strictStreams * MissProbability(gap, ToMs(aRequest.strictGap)) +
          RelaxedWeight(aCandidate) * MissProbability(gap, ToMs(aRequest.relaxedGap));
 }
@@ -257,12 +268,14 @@
              std::size_t aParts)
 {
   const EngineTraits& traits = *aRequest.service->engine;
-  double wait = 0;
+  const double partMs =
+    EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts);
+  double prefilled = 0;
   for (std::size_t i = 0; i < aParts; ++i) {
-    wait = std::max(wait, aSorted[i].waitMs);
+    prefilled = std::max(prefilled, aSorted[i].waitMs + partMs * aSorted[i].paceFactor);
   }
-  return wait + EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts) +
-         EstimatePassMs(traits, 1, aRequest.promptTokens);
+  return prefilled +
+         EstimatePassMs(traits, 1, aRequest.promptTokens) * aSorted.front().paceFactor;
 }
 
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
@@ -307,8 +320,10 @@
 ShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate)
 {
   const EngineTraits& traits = *aRequest.service->engine;
-  const double firstEventMs = aCandidate.waitMs + EstimatePrefillMs(traits, aRequest.promptTokens) +
-                              EstimatePassMs(traits, 1, aRequest.promptTokens);
+  const double firstEventMs =
+    aCandidate.waitMs +
+    EstimatePrefillMs(traits, aRequest.promptTokens) * aCandidate.paceFactor +
+    EstimatePassMs(traits, 1, aRequest.promptTokens) * aCandidate.paceFactor;
   const double maxStrict = kStrictSlotShare * traits.slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
   const double packed = std::min<double>(aCandidate.load.strictStreams, maxStrict);
@@ -317,6 +332,25 @@
          packed * kPackingGainMs;
 }
 
+// Returns the cost, in milliseconds, of the time that a request takes longer on an engine than on a
+// normal one: its prefill, of which the engine gets one of aParts, its first pass, and the gaps that
+// become late. The wait there is not included. It is 0 for a factor of 1.
+double
+SlowRunCost(const PlacementRequest& aRequest, const Candidate& aCandidate, double aParts)
+{
+  const EngineTraits& traits = *aRequest.service->engine;
+  const double runMs = EstimatePrefillMs(traits, aRequest.promptTokens) / aParts +
+                       EstimatePassMs(traits, 1, aRequest.promptTokens);
+  const double passMs =
+    EstimatePassMs(traits,
+                   aCandidate.load.running + 1,
+                   static_cast<double>(aCandidate.load.kvTokens) + aRequest.promptTokens);
+  const double gapMs = ToMs(aRequest.gapObjective);
+  const double moreLate = MissProbability(passMs * aCandidate.paceFactor, gapMs) -
+                          MissProbability(passMs, gapMs);
+  return (aCandidate.paceFactor - 1) * runMs + moreLate * kLateShortMs;
+}
+
 // Returns a placement with the decoding engine, the helpers and the prefill time of each.
 Placement
 MakePlacement(const PlacementRequest& aRequest,
@@ -329,6 +363,7 @@
   Placement placement;
   placement.target = *aChosen.front().target;
   placement.firstEventMs = aFirstEventMs;
+  placement.paceFactor = aChosen.front().paceFactor;
   placement.waitMs = aFirstEventMs;
   for (const Candidate& candidate : aChosen) {
     const bool decodes = &candidate == &aChosen.front();
@@ -370,12 +405,14 @@
   // Without reports the own domain is no better known than the others.
   const double remoteMs =
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
+  const double parts = isShort ? 1 : static_cast<double>(std::min(aCandidates.size(), kMaxHelpers + 1));
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
     candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, remoteMs, aLoadTracker) +
                      (isShort ? ShortCost(aRequest, candidate)
                               : candidate.load.strictStreams * kStrictStreamMs +
-                                  RelaxedWeight(candidate) * kRelaxedWeightMs);
+                                  RelaxedWeight(candidate) * kRelaxedWeightMs) +
+                     SlowRunCost(aRequest, candidate, parts);
   }
   SortByCost(aCandidates, aRandom);
   if (isShort) {
--- a/src/core/forward/placement/PlacementMemory.h
+++ b/src/core/forward/placement/PlacementMemory.h
@@ -18,8 +18,9 @@
 {
   const RegisteredTarget* target = nullptr;
   TargetLoad load;
-  double prefillMs = 0; // Remaining prefill time there.
-  double waitMs = 0;    // Predicted time until it starts a new prefill.
+  double paceFactor = 1; // Its times over the normal ones.
+  double prefillMs = 0;  // Remaining prefill time there.
+  double waitMs = 0;     // Predicted time until it starts a new prefill.
   double cost = 0;
 };
 
--- a/src/core/forward/request/ForwardAttempts.cpp
+++ b/src/core/forward/request/ForwardAttempts.cpp
@@ -129,6 +129,7 @@
 {
   std::string newEvents;
   const char* fault = nullptr;
+  const std::uint32_t eventsBefore = aState.attempt->eventCount;
   for (const StreamEvent& event : aState.attempt->events.Feed(aBytes)) {
     aState.attempt->eventCount += event.isComment ? 0 : 1;
     if (event.id && aState.lastEventId && *event.id <= *aState.lastEventId) {
@@ -145,6 +146,7 @@
     aState.lastEventId = event.id ? event.id : aState.lastEventId;
     newEvents += event.bytes;
   }
+  this->SampleEvents(*aState.attempt, aState.attempt->eventCount - eventsBefore);
   const bool isWithin = this->CountBuffered(*aState.attempt);
   if (!isWithin || aState.attempt->events.BufferedBytes() > kMaxEventBytes) {
     fault = "an event of the stream does not end";
@@ -257,6 +259,7 @@
     this->loadTracker.RecordSuccess(instance);
   }
   if (status / 100 == 2) {
+    this->SampleCall(aState);
     this->RecordProgress(aState);
   }
   SendResponse response;
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -68,6 +68,7 @@
                       service ? "no time is left for another target" : "the service is unknown");
     return;
   }
+  this->RefreshPace();
   const PlacementRequest request = this->MakePlacementRequest(aState, *service);
   Placement placement =
     ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
@@ -110,6 +111,7 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.evacuated = &this->evacuated;
+  request.pace = this->config.learnPace ? &this->pace : nullptr;
   request.domain = this->config.domain;
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
@@ -178,6 +180,7 @@
     start.helpers.push_back(std::move(name));
   }
   const TargetLoad load = this->loadTracker.LoadOf(start.instance, this->now);
+  attempt.runningBefore = load.running;
   std::string helpers;
   for (const PrefillHelper& helper : aPlacement.helpers) {
     helpers += (helpers.empty() ? "" : ",") + helper.instance;
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -60,7 +60,8 @@
                            .retryRatio = this->settings.retryRatio,
                            .retrySlack = this->settings.retrySlack,
                            .reservationLease = this->settings.reservationLease,
-                           .changeBound = this->settings.changeBound })
+                           .changeBound = this->settings.changeBound,
+                           .learnPace = this->settings.learnPace })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -424,6 +425,7 @@
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
   this->metrics.Set("forward_evacuated_domains",
                     static_cast<double>(this->reducer.Evacuations().domains.size()));
+  this->metrics.Set("forward_slow_targets", static_cast<double>(this->reducer.SlowTargets()));
   this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
   this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -94,6 +94,14 @@
     aValue = *value;
   }
 
+  // Reads an optional boolean.
+  void ReadFlag(const std::string& aKey, bool& aValue)
+  {
+    if (const toml::node* node = this->Find(aKey, false)) {
+      this->Assign(*node, aKey, aValue, "true or false");
+    }
+  }
+
   // Reads an optional duration such as "2s".
   void ReadDuration(const std::string& aKey, Duration& aValue)
   {
@@ -282,6 +290,7 @@
   forward.ReadDuration("reservation_lease", settings.reservationLease);
   forward.ReadDuration("leave_bound", settings.targetDrainTimeout);
   forward.ReadDuration("change_bound", settings.changeBound);
+  forward.ReadFlag("learn_pace", settings.learnPace);
   forward.ReportUnknownKeys();
   SortErrors(aErrors);
   return aErrors.empty() ? std::optional(settings) : std::nullopt;
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -56,6 +56,7 @@
     std::chrono::seconds(2); // By when a draining target must get no new attempts.
   Duration changeBound =
     std::chrono::seconds(2); // By when a new version of the configuration must be in force.
+  bool learnPace = true;     // See ForwardConfig.
 };
 
 // The settings of a sidecar.
--- /dev/null
+++ b/test/TargetPaceTest.cpp
@@ -0,0 +1,1 @@
+int placeholder_for_build;
