--- a/include/sycamorepost/forward/load/TargetPace.h
+++ b/include/sycamorepost/forward/load/TargetPace.h
@@ -149,13 +149,14 @@
     double reportedLog = 0;       // As last reported, with its confidence.
     PaceSamples all;              // Of this entry and the peers, as of the last Refresh.
     double factor = 1;
-    bool isSlow = false;
+    bool wasAbove = false; // At the last Refresh its factor was that of a slow target.
+    bool isSlow = false;   // The same at two of them in a row.
     bool loggedSlow = false;
     Instant loggedAt;
   };
   struct Service
   {
-    double usualLog = 0; // Mean logarithm of targets without samples.
+    double usualLog = 0; // Logarithm of the usual pace.
     Instant updatedAt;
   };
   struct CallDuration
@@ -166,11 +167,8 @@
 
   void AddSample(Target& aTarget, const std::string& aInstance, double aRatio, Instant aNow);
   PaceSamples SumOf(const Target& aTarget, bool aWithOtherDomains, Instant aNow) const;
-  double CenterOf(const std::string& aService,
-                  std::vector<double>& aLogs,
-                  std::size_t aTargetCount,
-                  Instant aNow);
-  void SetFactor(Target& aTarget, double aCenterLog, Instant aNow);
+  double UpdateUsual(const std::string& aService, std::vector<double>& aLogs, Instant aNow);
+  void SetFactor(Target& aTarget, double aLog);
 
   std::unordered_map<std::string, Target> targets;           // By instance.
   std::map<std::string, Service> services;                   // By name.
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -248,6 +248,7 @@
 
   // The pace of targets.
   void SampleEvents(internal::Attempt& aAttempt, std::uint32_t aNewEvents);
+  void SampleFirstEvent(const internal::Attempt& aAttempt);
   void SampleCall(const internal::RequestState& aState);
   void RefreshPace();
   std::vector<TargetLoadReport> TakeLoadChanges();
--- a/src/core/forward/load/ForwardPace.cpp
+++ b/src/core/forward/load/ForwardPace.cpp
@@ -37,10 +37,7 @@
   }
   if (aAttempt.eventCount == 1) {
     if (aAttempt.placement.helpers.empty()) {
-      this->pace.RecordTime(target.instance,
-                            ToMs(this->now - aAttempt.startedAt),
-                            aAttempt.placement.firstEventMs / aAttempt.placement.paceFactor,
-                            this->now);
+      this->SampleFirstEvent(aAttempt);
     }
     return;
   }
@@ -58,6 +55,23 @@
     this->now);
 }
 
+// What other entries placed at the same time, and have reported since, may have been prefilled first.
+void
+ForwardReducer::Impl::SampleFirstEvent(const Attempt& aAttempt)
+{
+  const std::string& instance = aAttempt.placement.target.instance;
+  const double predictedMs = aAttempt.placement.firstEventMs / aAttempt.placement.paceFactor;
+  const std::uint32_t running = this->loadTracker.LoadOf(instance, this->now).running;
+  const std::uint32_t known = aAttempt.runningBefore + 1;
+  const double joined = running > known ? running - known : 0;
+  const double unknownMs = joined * aAttempt.placement.placedWork.front().prefillMs;
+  const double observedMs = ToMs(this->now - aAttempt.startedAt);
+  this->pace.RecordTime(instance,
+                        observedMs,
+                        std::clamp(observedMs, predictedMs, predictedMs + unknownMs),
+                        this->now);
+}
+
 // Takes a sample from a plain call that has succeeded.
 void
 ForwardReducer::Impl::SampleCall(const RequestState& aState)
--- a/src/core/forward/load/TargetPace.cpp
+++ b/src/core/forward/load/TargetPace.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 #include <string_view>
+#include <utility>
 
 namespace sycamorepost {
 
@@ -11,14 +12,14 @@
 
 // The time after which a sample counts half: a target that has recovered must be in use again after
 // 3 s, and one that is still slow must not be probed with more than a few requests meanwhile.
-constexpr Duration kHalfLife = std::chrono::seconds(1);
+constexpr Duration kHalfLife = std::chrono::milliseconds(800);
 
 // The samples that count at most: a stream has one for each pass, so that a change is known after
 // about ten passes.
 constexpr double kMaxWeight = 8;
 
-// Samples of the pace of the whole service that are added to those of a target.
-constexpr double kPriorWeight = 2;
+// The square of the number of samples that are half believed.
+constexpr double kHalfBelieved = 5;
 
 // Fewer samples say nothing.
 constexpr double kMinWeight = 0.25;
@@ -47,8 +48,10 @@
 // The change of a view, as a factor, that is reported although the load has not changed.
 constexpr double kNotableChange = 1.3;
 
-// The time in which targets without samples come to count half like those with samples.
+// The time in which the usual pace of a service moves half way to the median of the targets with
+// samples. While it is slower than usual, targets without samples are worth trying.
 constexpr Duration kUsualHalfLife = std::chrono::seconds(2);
+constexpr Duration kFasterHalfLife = std::chrono::milliseconds(300);
 
 // The share by which one call moves the median duration, once there were as many calls.
 constexpr double kDurationStep = 0.03;
@@ -84,6 +87,13 @@
   return band;
 }
 
+// Returns the mean logarithm of samples, the closer to the usual one the less they are believed.
+double
+ShrunkLog(const PaceSamples& aSamples, double aUsualLog, Instant aNow)
+{
+  return aUsualLog + (aSamples.MeanLog() - aUsualLog) * aSamples.ConfidenceAt(aNow);
+}
+
 } // namespace
 
 // ---- Samples ----
@@ -134,7 +144,7 @@
 {
   const double weight =
     std::min(this->WeightAt(aNow), kMaxWeight * Halvings(this->AgeAt(aNow), kHalfLife));
-  return weight / (weight + kPriorWeight);
+  return weight * weight / (weight * weight + kHalfBelieved);
 }
 
 PaceSamples
@@ -330,12 +340,17 @@
     }
   }
   for (auto& [service, group] : groups) {
-    if (!group.targets.empty()) {
-      const double center =
-        this->CenterOf(std::string(service), group.logs, group.targetCount, aNow);
-      for (Target* target : group.targets) {
-        this->SetFactor(*target, center, aNow);
-      }
+    if (group.targets.empty()) {
+      continue;
+    }
+    const double usualLog = this->UpdateUsual(std::string(service), group.logs, aNow);
+    std::vector<double> logs(group.targetCount - group.targets.size(), usualLog);
+    for (const Target* target : group.targets) {
+      logs.push_back(ShrunkLog(target->all, usualLog, aNow));
+    }
+    const double centerLog = MedianOf(logs);
+    for (Target* target : group.targets) {
+      this->SetFactor(*target, ShrunkLog(target->all, usualLog, aNow) - centerLog);
     }
   }
   for (const auto& [instance, target] : this->targets) {
@@ -345,36 +360,32 @@
   }
 }
 
-// Returns the median logarithm of the targets of a service. Those without samples count with the
-// median that those with samples have had: while few targets are in use, and these are slow, the
-// others are preferred; when all have turned out slow, none of them is.
+// Moves the usual pace of a service towards the median of the targets with samples, whose logarithms
+// are given. Returns it. Targets without samples count with it: while few targets are in use, and
+// these are slow, the others are preferred; when all have turned out slow, none of them is.
 double
-TargetPace::CenterOf(const std::string& aService,
-                     std::vector<double>& aLogs,
-                     std::size_t aTargetCount,
-                     Instant aNow)
+TargetPace::UpdateUsual(const std::string& aService, std::vector<double>& aLogs, Instant aNow)
 {
   Service& service = this->services[aService];
-  const double usualLog = service.usualLog;
   if (!aLogs.empty()) {
-    const double share = Halvings(aNow - service.updatedAt, kUsualHalfLife);
-    service.usualLog = share * usualLog + (1 - share) * MedianOf(aLogs);
+    const double median = MedianOf(aLogs);
+    const Duration halfLife = median < service.usualLog ? kFasterHalfLife : kUsualHalfLife;
+    const double share = Halvings(aNow - service.updatedAt, halfLife);
+    service.usualLog = share * service.usualLog + (1 - share) * median;
   }
   service.updatedAt = aNow;
-  aLogs.resize(std::max(aTargetCount, aLogs.size()), usualLog);
-  return MedianOf(aLogs);
+  return service.usualLog;
 }
 
 void
-TargetPace::SetFactor(Target& aTarget, double aCenterLog, Instant aNow)
+TargetPace::SetFactor(Target& aTarget, double aLog)
 {
-  double log = 0;
-  if (aTarget.all.WeightAt(aNow) >= kMinWeight) {
-    log = (aTarget.all.MeanLog() - aCenterLog) * aTarget.all.ConfidenceAt(aNow);
-  }
-  const bool isNormal = std::abs(log) < std::log(kNormalFactor);
-  aTarget.factor = isNormal ? 1 : std::clamp(std::exp(log), kMinFactor, kMaxFactor);
-  const bool isSlow = aTarget.factor > (aTarget.isSlow ? kRecoveredFactor : kSlowFactor);
+  const bool isNormal = std::abs(aLog) < std::log(kNormalFactor);
+  aTarget.factor = isNormal ? 1 : std::clamp(std::exp(aLog), kMinFactor, kMaxFactor);
+  // While all targets change, some are ahead of the others for a moment.
+  const bool isAbove = aTarget.factor > (aTarget.isSlow ? kRecoveredFactor : kSlowFactor);
+  const bool wasAbove = std::exchange(aTarget.wasAbove, isAbove);
+  const bool isSlow = isAbove && wasAbove;
   this->slowCount += isSlow && !aTarget.isSlow ? 1 : 0;
   this->slowCount -= !isSlow && aTarget.isSlow ? 1 : 0;
   aTarget.isSlow = isSlow;
