Compare samples with what predictions are usually off by

Cause: in the simulation of coordination, whose streams have an event every 200 ms whatever the pass time, gaps were four times the prediction and first events were not.

Change: each kind of sample of a service is compared with its own baseline, which moves by half of a percent a sample, and faster at first.

--- a/include/sycamorepost/forward/load/TargetPace.h
+++ b/include/sycamorepost/forward/load/TargetPace.h
@@ -20,8 +20,8 @@
 class PaceSamples
 {
 public:
-  // Adds one sample. A ratio far from that of the earlier samples counts as one less far.
-  void Add(double aRatio, Instant aNow);
+  // Adds the logarithm of one. One far from that of the earlier samples counts as one less far.
+  void Add(double aLog, Instant aNow);
   // Adds the samples of another entry.
   void Merge(const PaceSamples& aOther, Instant aNow);
 
@@ -72,12 +72,13 @@
 class TargetPace
 {
 public:
-  // Records how long a target took, in milliseconds, over a prediction without its factor. Ignored
-  // unless both are positive.
-  void RecordTime(const std::string& aInstance,
-                  double aObservedMs,
-                  double aPredictedMs,
-                  Instant aNow);
+  // Records the time to the first event of an engine of a service, in milliseconds, over a
+  // prediction without its factor. Ignored unless both are positive.
+  void RecordFirstEvent(const std::string& aService,
+                        const std::string& aInstance,
+                        double aObservedMs,
+                        double aPredictedMs,
+                        Instant aNow);
 
   // Returns whether a gap of a stream is a sample now: streams of one engine have their events at
   // the same time, which count as one.
@@ -85,7 +86,8 @@
 
   // Records the gap between two events, in milliseconds, over the time of a pass. A gap that the
   // prefill pending there explains is normal.
-  void RecordGap(const std::string& aInstance,
+  void RecordGap(const std::string& aService,
+                 const std::string& aInstance,
                  double aGapMs,
                  double aPassMs,
                  double aPendingPrefillMs,
@@ -144,10 +146,10 @@
   {
     PaceSamples own;
     std::vector<PeerView> peers;
-    Instant gapAt;                // When the last gap was recorded.
-    double pendingPrefillMs = 0;  // At that time.
-    double reportedLog = 0;       // As last reported, with its confidence.
-    PaceSamples all;              // Of this entry and the peers, as of the last Refresh.
+    Instant gapAt;               // When the last gap was recorded.
+    double pendingPrefillMs = 0; // At that time.
+    double reportedLog = 0;      // As last reported, with its confidence.
+    PaceSamples all;             // Of this entry and the peers, as of the last Refresh.
     double factor = 1;
     bool wasAbove = false; // At the last Refresh its factor was that of a slow target.
     bool isSlow = false;   // The same at two of them in a row.
@@ -159,22 +161,31 @@
     double usualLog = 0; // Logarithm of the usual pace.
     Instant updatedAt;
   };
-  struct CallDuration
+  // The logarithm of what is usual for one kind of sample: the median, approached in steps.
+  struct Baseline
   {
     double medianLog = 0;
-    std::uint32_t count = 0;
+    double count = 0;
+  };
+  // The errors that predictions for the engines of a service have in common.
+  struct EngineBias
+  {
+    Baseline firstEvent;
+    Baseline gap;
   };
 
-  void AddSample(Target& aTarget, const std::string& aInstance, double aRatio, Instant aNow);
+  static double CompareWith(Baseline& aBaseline, double aLog, double aMinStep);
+  void AddSample(Target& aTarget, const std::string& aInstance, double aLog, Instant aNow);
   PaceSamples SumOf(const Target& aTarget, bool aWithOtherDomains, Instant aNow) const;
   double UpdateUsual(const std::string& aService, std::vector<double>& aLogs, Instant aNow);
   void SetFactor(Target& aTarget, double aLog);
 
-  std::unordered_map<std::string, Target> targets;           // By instance.
-  std::map<std::string, Service> services;                   // By name.
-  std::unordered_map<std::string, CallDuration> durations;   // By kind and number of running calls.
-  std::set<std::string> notable;                             // Instances.
-  std::set<std::string> changed;                             // Instances with a change to log.
+  std::unordered_map<std::string, Target> targets;     // By instance.
+  std::map<std::string, Service> services;             // By name.
+  std::unordered_map<std::string, EngineBias> biases;  // By service.
+  std::unordered_map<std::string, Baseline> durations; // By kind and number of running calls.
+  std::set<std::string> notable;                       // Instances.
+  std::set<std::string> changed;                       // Instances with a change to log.
   std::size_t slowCount = 0;
   Instant refreshAt;
 };
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -62,14 +62,14 @@
   Instant startedAt;
   std::optional<int> status; // Empty until the response head is received.
   std::vector<Field> fields;
-  std::string body;              // Of a response that is passed on as a whole.
-  bool isStream = false;         // Its events are passed on as they are received.
-  bool delivered = false;        // At least one of its events was passed on.
-  bool isStalled = false;        // Its target has sent nothing for too long.
-  std::uint32_t eventCount = 0;  // Complete events received.
-  Instant lastEventAt;           // When the last one was received.
+  std::string body;                // Of a response that is passed on as a whole.
+  bool isStream = false;           // Its events are passed on as they are received.
+  bool delivered = false;          // At least one of its events was passed on.
+  bool isStalled = false;          // Its target has sent nothing for too long.
+  std::uint32_t eventCount = 0;    // Complete events received.
+  Instant lastEventAt;             // When the last one was received.
   std::uint32_t runningBefore = 0; // Requests on the target when it was sent.
-  std::size_t bufferedBytes = 0; // Of the body and the incomplete event, as counted in the total.
+  std::size_t bufferedBytes = 0;   // Of the body and the incomplete event, as counted in the total.
   EventStreamParser events;
 };
 
--- a/src/core/forward/load/ForwardPace.cpp
+++ b/src/core/forward/load/ForwardPace.cpp
@@ -41,13 +41,13 @@
     }
     return;
   }
-  const ServiceTraits* service =
-    this->table ? this->table->FindService(target.service) : nullptr;
+  const ServiceTraits* service = this->table ? this->table->FindService(target.service) : nullptr;
   if (!service || !service->engine || !this->pace.WantsGap(target.instance, this->now)) {
     return;
   }
   const TargetLoad load = this->loadTracker.LoadOf(target.instance, this->now);
   this->pace.RecordGap(
+    target.service,
     target.instance,
     ToMs(this->now - lastEventAt),
     EstimatePassMs(*service->engine, load.running, static_cast<double>(load.kvTokens)),
@@ -55,7 +55,8 @@
     this->now);
 }
 
-// What other entries placed at the same time, and have reported since, may have been prefilled first.
+// What other entries placed at the same time, and have reported since, may have been prefilled
+// first.
 void
 ForwardReducer::Impl::SampleFirstEvent(const Attempt& aAttempt)
 {
@@ -66,10 +67,11 @@
   const double joined = running > known ? running - known : 0;
   const double unknownMs = joined * aAttempt.placement.placedWork.front().prefillMs;
   const double observedMs = ToMs(this->now - aAttempt.startedAt);
-  this->pace.RecordTime(instance,
-                        observedMs,
-                        std::clamp(observedMs, predictedMs, predictedMs + unknownMs),
-                        this->now);
+  this->pace.RecordFirstEvent(aAttempt.placement.target.service,
+                              instance,
+                              observedMs,
+                              std::clamp(observedMs, predictedMs, predictedMs + unknownMs),
+                              this->now);
 }
 
 // Takes a sample from a plain call that has succeeded.
--- a/src/core/forward/load/TargetPace.cpp
+++ b/src/core/forward/load/TargetPace.cpp
@@ -53,9 +53,12 @@
 constexpr Duration kUsualHalfLife = std::chrono::seconds(2);
 constexpr Duration kFasterHalfLife = std::chrono::milliseconds(300);
 
-// The share by which one call moves the median duration, once there were as many calls.
+// The share by which one sample of an engine moves what predictions are usually off by: it takes
+// some hundred samples, so that a disturbance of seconds has little part in it.
+constexpr double kBiasStep = 0.005;
+
+// The share by which one call moves the median duration.
 constexpr double kDurationStep = 0.03;
-constexpr std::uint32_t kFirstCalls = 30;
 
 // Limits on what a report states.
 constexpr std::uint32_t kMaxReportedPercent = 6'400;
@@ -108,12 +111,12 @@
 }
 
 void
-PaceSamples::Add(double aRatio, Instant aNow)
+PaceSamples::Add(double aLog, Instant aNow)
 {
   const double known = this->MeanLog() * this->ConfidenceAt(aNow);
   const double step = std::log(kMaxStep);
   this->Age(aNow);
-  this->logSum += std::clamp(std::log(aRatio), known - step, known + step);
+  this->logSum += std::clamp(aLog, known - step, known + step);
   this->weight += 1;
   if (this->weight > kMaxWeight) {
     this->logSum *= kMaxWeight / this->weight;
@@ -179,26 +182,40 @@
 // ---- Recording ----
 
 void
-TargetPace::AddSample(Target& aTarget,
-                      const std::string& aInstance,
-                      double aRatio,
-                      Instant aNow)
+TargetPace::AddSample(Target& aTarget, const std::string& aInstance, double aLog, Instant aNow)
 {
-  aTarget.own.Add(aRatio, aNow);
+  aTarget.own.Add(aLog, aNow);
   const double log = aTarget.own.MeanLog() * aTarget.own.ConfidenceAt(aNow);
   if (std::abs(log - aTarget.reportedLog) > std::log(kNotableChange)) {
     this->notable.insert(aInstance);
   }
 }
 
+// Returns a logarithm relative to the usual one, which moves towards it by aMinStep, or by more at
+// first.
+double
+TargetPace::CompareWith(Baseline& aBaseline, double aLog, double aMinStep)
+{
+  // The step shrinks from a half, so that the first samples do not decide for long.
+  const double step = std::max(aMinStep, 0.5 / ++aBaseline.count);
+  const double difference = aLog - aBaseline.medianLog;
+  aBaseline.medianLog += std::clamp(difference, -step, step);
+  return difference;
+}
+
 void
-TargetPace::RecordTime(const std::string& aInstance,
-                       double aObservedMs,
-                       double aPredictedMs,
-                       Instant aNow)
+TargetPace::RecordFirstEvent(const std::string& aService,
+                             const std::string& aInstance,
+                             double aObservedMs,
+                             double aPredictedMs,
+                             Instant aNow)
 {
   if (aObservedMs > 0 && aPredictedMs > 0) {
-    this->AddSample(this->targets[aInstance], aInstance, aObservedMs / aPredictedMs, aNow);
+    const double log = std::log(aObservedMs / aPredictedMs);
+    this->AddSample(this->targets[aInstance],
+                    aInstance,
+                    CompareWith(this->biases[aService].firstEvent, log, kBiasStep),
+                    aNow);
   }
 }
 
@@ -210,7 +227,8 @@
 }
 
 void
-TargetPace::RecordGap(const std::string& aInstance,
+TargetPace::RecordGap(const std::string& aService,
+                      const std::string& aInstance,
                       double aGapMs,
                       double aPassMs,
                       double aPendingPrefillMs,
@@ -225,7 +243,8 @@
   target.gapAt = aNow;
   target.pendingPrefillMs = aPendingPrefillMs;
   const double predictedMs = std::clamp(aGapMs, aPassMs, aPassMs + prefillMs);
-  this->AddSample(target, aInstance, aGapMs / predictedMs, aNow);
+  const double log = std::log(aGapMs / predictedMs);
+  this->AddSample(target, aInstance, CompareWith(this->biases[aService].gap, log, kBiasStep), aNow);
 }
 
 void
@@ -238,17 +257,13 @@
   if (aDurationMs <= 0) {
     return;
   }
-  CallDuration& usual = this->durations[aKind + '\n' + std::to_string(LoadBand(aRunning))];
+  Baseline& usual = this->durations[aKind + '\n' + std::to_string(LoadBand(aRunning))];
   const double log = std::log(aDurationMs);
   if (usual.count == 0) {
     usual.medianLog = log;
   }
-  // The step shrinks from a half, so that the first calls do not decide for long.
-  usual.count = std::min(usual.count + 1, kFirstCalls);
-  const double step = std::max(kDurationStep, 0.5 / usual.count);
-  const double ratio = std::exp(log - usual.medianLog);
-  usual.medianLog += std::clamp(log - usual.medianLog, -step, step);
-  this->AddSample(this->targets[aInstance], aInstance, ratio, aNow);
+  this->AddSample(
+    this->targets[aInstance], aInstance, CompareWith(usual, log, kDurationStep), aNow);
 }
 
 void
@@ -360,9 +375,10 @@
   }
 }
 
-// Moves the usual pace of a service towards the median of the targets with samples, whose logarithms
-// are given. Returns it. Targets without samples count with it: while few targets are in use, and
-// these are slow, the others are preferred; when all have turned out slow, none of them is.
+// Moves the usual pace of a service towards the median of the targets with samples, whose
+// logarithms are given. Returns it. Targets without samples count with it: while few targets are in
+// use, and these are slow, the others are preferred; when all have turned out slow, none of them
+// is.
 double
 TargetPace::UpdateUsual(const std::string& aService, std::vector<double>& aLogs, Instant aNow)
 {
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -167,9 +167,8 @@
   for (Candidate& candidate : aCandidates) {
     const double load =
       static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
-    candidate.cost =
-      load * 2 * kRemoteDomainMs * candidate.paceFactor +
-      CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
+    candidate.cost = load * 2 * kRemoteDomainMs * candidate.paceFactor +
+                     CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
     candidate.cost += load >= 1 ? 2 * kRemoteDomainMs * candidate.paceFactor : 0;
     candidate.cost += (candidate.paceFactor - 1) * 2 * kRemoteDomainMs;
   }
@@ -274,8 +273,7 @@
   for (std::size_t i = 0; i < aParts; ++i) {
     prefilled = std::max(prefilled, aSorted[i].waitMs + partMs * aSorted[i].paceFactor);
   }
-  return prefilled +
-         EstimatePassMs(traits, 1, aRequest.promptTokens) * aSorted.front().paceFactor;
+  return prefilled + EstimatePassMs(traits, 1, aRequest.promptTokens) * aSorted.front().paceFactor;
 }
 
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
@@ -321,8 +319,7 @@
 {
   const EngineTraits& traits = *aRequest.service->engine;
   const double firstEventMs =
-    aCandidate.waitMs +
-    EstimatePrefillMs(traits, aRequest.promptTokens) * aCandidate.paceFactor +
+    aCandidate.waitMs + EstimatePrefillMs(traits, aRequest.promptTokens) * aCandidate.paceFactor +
     EstimatePassMs(traits, 1, aRequest.promptTokens) * aCandidate.paceFactor;
   const double maxStrict = kStrictSlotShare * traits.slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
@@ -333,8 +330,8 @@
 }
 
 // Returns the cost, in milliseconds, of the time that a request takes longer on an engine than on a
-// normal one: its prefill, of which the engine gets one of aParts, its first pass, and the gaps that
-// become late. The wait there is not included. It is 0 for a factor of 1.
+// normal one: its prefill, of which the engine gets one of aParts, its first pass, and the gaps
+// that become late. The wait there is not included. It is 0 for a factor of 1.
 double
 SlowRunCost(const PlacementRequest& aRequest, const Candidate& aCandidate, double aParts)
 {
@@ -346,8 +343,8 @@
                    aCandidate.load.running + 1,
                    static_cast<double>(aCandidate.load.kvTokens) + aRequest.promptTokens);
   const double gapMs = ToMs(aRequest.gapObjective);
-  const double moreLate = MissProbability(passMs * aCandidate.paceFactor, gapMs) -
-                          MissProbability(passMs, gapMs);
+  const double moreLate =
+    MissProbability(passMs * aCandidate.paceFactor, gapMs) - MissProbability(passMs, gapMs);
   return (aCandidate.paceFactor - 1) * runMs + moreLate * kLateShortMs;
 }
 
@@ -405,7 +402,8 @@
   // Without reports the own domain is no better known than the others.
   const double remoteMs =
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
-  const double parts = isShort ? 1 : static_cast<double>(std::min(aCandidates.size(), kMaxHelpers + 1));
+  const double parts =
+    isShort ? 1 : static_cast<double>(std::min(aCandidates.size(), kMaxHelpers + 1));
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
     candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, remoteMs, aLoadTracker) +
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -353,6 +353,11 @@
     CPPUNIT_ASSERT(
       !ParseForwardSettings(validSettings + "retry_ratio = -1\nretri_slack = 2\n", errors));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), errors.size());
+    errors.clear();
+    const auto fixed = ParseForwardSettings(validSettings + "learn_pace = false\n", errors);
+    CPPUNIT_ASSERT(fixed && !fixed->learnPace);
+    CPPUNIT_ASSERT(!ParseForwardSettings(validSettings + "learn_pace = 1\n", errors));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), errors.front().line);
     CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
   }
 };
--- a/test/harness/PaceTrial.h
+++ b/test/harness/PaceTrial.h
@@ -30,8 +30,8 @@
   double rate = 3; // Requests of each entry a second.
   bool isPlain = false;
   Duration length = std::chrono::seconds(16);
-  // Returns by how much a target is slower than normal. aSince is the time since the start, aRunning
-  // the number of requests there.
+  // Returns by how much a target is slower than normal. aSince is the time since the start,
+  // aRunning the number of requests there.
   std::function<double(std::uint32_t aTarget, Duration aSince, std::size_t aRunning)> slowness;
   // Returns whether a target fails a request at once; empty when none does.
   std::function<bool(std::uint32_t aTarget, Duration aSince)> fails;
--- a/test/harness/VirtualFleet.h
+++ b/test/harness/VirtualFleet.h
@@ -16,7 +16,8 @@
 
 namespace sycamorepost::harness {
 
-// What happens at given times; events of the same time happen in the order in which they were added.
+// What happens at given times; events of the same time happen in the order in which they were
+// added.
 class VirtualEvents
 {
 public:
