Test that factors are 1 again 3 s after a disturbance

Work returns to engines that have recovered when the load needs them; with less load strict streams stay packed elsewhere, so the test checks the factors too.

--- a/test/TargetPaceTest.cpp
+++ b/test/TargetPaceTest.cpp
@@ -479,10 +479,16 @@
     CheckFewerLate(FindPattern("a fifth slow from the third request"), 3, false);
   }
 
-  // The load needs all engines: with less, strict streams stay packed on the others.
+  // The factors are 1 again after 3 s under any load. The work returns where all engines are
+  // needed: with less load, strict streams stay packed on the engines that have some.
   void RecoveredTargetsGetTheirShareAgain()
   {
     const PacePattern& pattern = FindPattern("a fifth slow");
+    const PaceTrialResult result = RunPaceTrial(MakePaceTrial(pattern, 40));
+    CPPUNIT_ASSERT(result.greatestFactor[20] > 1.5); // After 10 s, 1 s before the end.
+    for (std::size_t i = 28; i < result.greatestFactor.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(1.0, result.greatestFactor[i]);
+    }
     for (const bool isPlain : { false, true }) {
       const double rate = isPlain ? 20 : 6;
       const Shares learned = RunSeeds(pattern, PaceStrategy::Learned, rate, isPlain);
--- a/test/harness/PaceTrial.cpp
+++ b/test/harness/PaceTrial.cpp
@@ -141,11 +141,11 @@
     this->result.slowTargetCount.push_back(static_cast<double>(reducer.SlowTargets()));
     if (this->result.slowTargetCount.size() % 5 == 0) {
       const nlohmann::json dump = reducer.Dump(this->events.now);
+      double greatest = 0;
       for (const auto& target : dump["targets"]) {
-        const double factor = target["pace_factor"].get<double>();
-        this->result.maxFactor = std::max(this->result.maxFactor, factor);
-        this->result.minFactor = std::min(this->result.minFactor, factor);
+        greatest = std::max(greatest, target["pace_factor"].get<double>());
       }
+      this->result.greatestFactor.push_back(greatest);
     }
     this->events.At(this->events.now + milliseconds(100), [this] { this->Observe(); });
   }
--- a/test/harness/PaceTrial.h
+++ b/test/harness/PaceTrial.h
@@ -51,8 +51,7 @@
   std::vector<TrialRequest> requests;  // In the order of their arrival.
   std::vector<double> slowTargetCount; // As the first entry counts them, every 100 ms.
   std::uint64_t changesLogged = 0;     // Lines of all entries that a target is slow or not.
-  double maxFactor = 1;                // Of all targets at the first entry, every 500 ms, and
-  double minFactor = 1;                // the least one.
+  std::vector<double> greatestFactor;  // Of all targets at the first entry, every 500 ms.
 
   // Returns the share of late requests among those that arrived from aFrom to aTo.
   double LateShare(Duration aFrom, Duration aTo) const;
--- a/test/pace/main.cpp
+++ b/test/pace/main.cpp
@@ -59,13 +59,14 @@
     logged += static_cast<double>(result.changesLogged);
     if (FLAGS_timeline) {
       for (Duration at{}; at < options.length; at += milliseconds(500)) {
-        std::printf("  %5.1f s: late %5.1f %%, slow targets get %5.1f %%, found slow %.0f\n",
+        std::printf("  %5.1f s: late %5.1f %%, slow targets get %5.1f %%, found slow %.0f, "
+                    "greatest factor %.2f\n",
                     ToMs(at) / 1000,
                     100 * result.LateShare(at, at + milliseconds(500)),
                     100 * result.ShareBelow(affected, at, at + milliseconds(500)),
-                    result.slowTargetCount[static_cast<std::size_t>(ToMs(at) / 100)]);
+                    result.slowTargetCount[static_cast<std::size_t>(ToMs(at) / 100)],
+                    result.greatestFactor[static_cast<std::size_t>(ToMs(at) / 500)]);
       }
-      std::printf("  factors from %.2f to %.2f\n", result.minFactor, result.maxFactor);
     }
   }
   std::printf("| %s, %s | %s | %.1f %% | %.1f %% | %.1f %% | %.0f |\n",
