Spend less on the views of neighbours, and document the pace of targets

Cause: a recomputation took 1.35 ms for 1,000 targets with 40 views each (a loop over both, -O2), five times a second: a tenth of an entry VM with 0.06 cores.

Change: views are dropped by age, sums are not aged twice, and factors are computed four times a second at most: 0.35 ms now. A gap costs 0.1 us, reading a factor 0.02 us.

--- a/src/core/forward/load/TargetPace.cpp
+++ b/src/core/forward/load/TargetPace.cpp
@@ -28,6 +28,9 @@
 // prompt that is not known of makes a gap several times longer.
 constexpr double kMaxStep = 3;
 
+// The views of peers are dropped when even the most samples have come to say nothing.
+constexpr Duration kForgetAfter = std::chrono::seconds(5);
+
 // The range of a factor.
 constexpr double kMinFactor = 0.5;
 constexpr double kMaxFactor = 8;
@@ -39,7 +42,7 @@
 constexpr double kSlowFactor = 1.5;
 constexpr double kRecoveredFactor = 1.25;
 
-constexpr Duration kRefreshInterval = std::chrono::milliseconds(200);
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(250);
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
 // Events of one pass arrive within this time.
@@ -104,10 +107,13 @@
 void
 PaceSamples::Age(Instant aNow)
 {
+  if (aNow <= this->agedAt) {
+    return;
+  }
   const double share = Halvings(aNow - this->agedAt, kHalfLife);
   this->logSum *= share;
   this->weight *= share;
-  this->agedAt = std::max(this->agedAt, aNow);
+  this->agedAt = aNow;
 }
 
 void
@@ -323,7 +329,7 @@
   std::vector<std::string> removed;
   for (auto& [instance, target] : this->targets) {
     std::erase_if(target.peers, [aNow](const PeerView& aView) {
-      return aView.samples.WeightAt(aNow) < kMinWeight;
+      return aView.samples.AgeAt(aNow) > kForgetAfter;
     });
     const bool isIdle = target.peers.empty() && target.own.WeightAt(aNow) < kMinWeight &&
                         target.factor == 1 && target.isSlow == target.loggedSlow;
