--- a/src/core/forward/load/TargetPace.cpp
+++ b/src/core/forward/load/TargetPace.cpp
@@ -424,7 +424,7 @@
 TargetPace::ViewOf(const std::string& aInstance, Instant aNow) const
 {
   const auto found = this->targets.find(aInstance);
-  if (found == this->targets.end()) {
+  if (found == this->targets.end() || found->second.all.WeightAt(aNow) <= 0) {
     return {};
   }
   const Target& target = found->second;
