--- a/test/TargetPaceTest.cpp
+++ b/test/TargetPaceTest.cpp
@@ -387,14 +387,21 @@
     driver.Send("/draft/", 4'000);
     driver.Respond(200);
     std::size_t idleBroadcasts = 0;
+    std::uint32_t reportedSamples = 0;
     for (int id = 1; id <= 10; ++id) {
       driver.now += milliseconds(300);
       driver.ReceiveEvents(id, 1);
       driver.broadcasts.clear();
       driver.Step(Wake{});
       idleBroadcasts += id > 2 ? driver.broadcasts.size() : 0;
+      for (const BroadcastLoad& broadcast : driver.broadcasts) {
+        for (const TargetLoadReport& load : broadcast.loads) {
+          reportedSamples = std::max(reportedSamples, load.paceSamples);
+        }
+      }
     }
-    CPPUNIT_ASSERT(idleBroadcasts <= 4); // One a second.
+    CPPUNIT_ASSERT(reportedSamples >= 2); // More than the first event, with which the load changes.
+    CPPUNIT_ASSERT(idleBroadcasts <= 4);  // One a second.
     driver.now += seconds(1);
     driver.Step(Wake{});
     const std::vector<TargetLoadReport> none{ { "a", 1, 0, 5, 0, 0 } };
