--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -394,6 +394,8 @@
   // What all attempts may buffer of responses together. Beyond it, those with more than an equal
   // share are aborted.
   std::uint64_t maxBufferedBytes = 64ULL * 1024 * 1024;
+  // Whether placement takes into account how fast each target has proved to be; see TargetPace.
+  bool learnPace = true;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
@@ -423,6 +425,9 @@
   // Returns which failure domains are evacuated.
   const EvacuationView& Evacuations() const;
 
+  // Returns the number of targets that are known to be slow.
+  std::size_t SlowTargets() const;
+
   // Returns the rank of this entry among the live ones of its failure domain; see EntryGroup.
   std::size_t DomainRank(Instant aNow) const;
 
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -13,6 +13,7 @@
 
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/load/TargetPace.h"
 #include "sycamorepost/forward/targets/ColdShares.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
@@ -34,6 +35,7 @@
   const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
   const EvacuatedDomains* evacuated = nullptr; // May be null.
   const ColdShares* coldShares = nullptr;      // May be null.
+  const TargetPace* pace = nullptr;            // May be null: all targets are equally fast.
   std::string domain;                          // The failure domain of the entry.
   // The greatest cost of a long prompt to all callers, its own delay included, as a share of its
   // weight.
@@ -98,6 +100,7 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PlacedWork> placedWork; // The load that it adds, by target.
   double firstEventMs = 0;            // Predicted time to the first event; 0 for a plain call.
+  double paceFactor = 1;              // That of the target, which the prediction contains.
   double waitMs = 0;                  // When not placed: time until it may be, if that is known.
 };
 
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -82,6 +82,7 @@
     // A target that restarted under its old instance id has lost all of its work.
     if (removed || found->second.startedAtMs != target.startedAtMs) {
       this->loadTracker.RemoveTarget(instance);
+      this->pace.RemoveTarget(instance);
     }
   }
   this->targets = aChanged.targets;
@@ -119,7 +120,7 @@
   if (isNew) {
     // A peer that has just started does not know the load of this entry, and has none of its
     // earlier incarnation.
-    std::vector<TargetLoadReport> loads = this->loadTracker.Snapshot(this->now);
+    std::vector<TargetLoadReport> loads = this->LoadSnapshot();
     if (!loads.empty()) {
       this->effects.emplace_back(BroadcastLoad{ std::move(loads), true, { aReport.peer } });
     }
@@ -137,6 +138,7 @@
     this->loadTracker.RemovePeer(aReport.peer);
   }
   this->loadTracker.ApplyReport(aReport.peer, aReport.loads, this->now);
+  this->pace.ApplyReport(aReport.peer, false, aReport.loads, this->now);
 }
 
 // Each report is complete, so a lost one, or one that arrives after a newer one, does no lasting
@@ -160,6 +162,7 @@
   const std::string peer = kDomainPrefix + aReport.domain;
   this->loadTracker.RemovePeer(peer);
   this->loadTracker.ApplyReport(peer, aReport.loads, this->now);
+  this->pace.ApplyReport(peer, true, aReport.loads, this->now);
   const std::size_t registered = this->group.CountOf(aReport.domain);
   const std::size_t entries = std::min<std::size_t>(aReport.entries, registered);
   this->domains[aReport.domain] = { entries, this->now };
@@ -285,6 +288,9 @@
     load.prefillMs = std::round(load.prefillMs);
     load.pendingPrefillMs = std::round(load.pendingPrefillMs);
   }
+  if (this->config.learnPace) {
+    this->pace.AddDomainViews(report.loads, this->now);
+  }
   this->effects.emplace_back(SendDomainLoad{ std::move(report), relays });
 }
 
@@ -313,10 +319,11 @@
     this->broadcastAt = this->now;
   }
   this->RunCrashWork();
+  this->RefreshPace();
   if (this->now >= this->broadcastAt) {
     this->broadcastAt = Instant::max();
     this->effects.emplace_back(
-      BroadcastLoad{ this->loadTracker.TakeChanges(this->now), false, this->group.DirectPeers() });
+      BroadcastLoad{ this->TakeLoadChanges(), false, this->group.DirectPeers() });
   }
   if (this->now >= this->domainReportAt) {
     this->domainReportAt = this->now + kDomainReportInterval * kDomainReporters;
@@ -557,6 +564,7 @@
   dump["cold_shares"] = this->DumpCold(aNow);
   for (const auto& [instance, target] : this->targets) {
     const TargetLoad load = this->loadTracker.LoadOf(instance, aNow);
+    const PaceView view = this->pace.ViewOf(instance, aNow);
     dump["targets"][instance] = { { "service", target.service },
                                   { "address", target.address },
                                   { "domain", target.domain },
@@ -567,7 +575,10 @@
                                   { "memory_tokens", load.kvTokens },
                                   { "read_ms", load.PrefillMs(aNow) },
                                   { "failure_share", this->loadTracker.FailureRate(instance) },
-                                  { "suspected", this->loadTracker.IsAvoided(instance, aNow) } };
+                                  { "suspected", this->loadTracker.IsAvoided(instance, aNow) },
+                                  { "pace_factor", view.factor },
+                                  { "pace_samples", view.samples },
+                                  { "pace_age_ms", ToMillis(view.age) } };
   }
   for (const auto& [handle, state] : this->requests) {
     dump["requests"].push_back(
@@ -648,6 +659,12 @@
   return this->impl->Evacuations();
 }
 
+std::size_t
+ForwardReducer::SlowTargets() const
+{
+  return this->impl->SlowTargets();
+}
+
 std::size_t
 ForwardReducer::DomainRank(Instant aNow) const
 {
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -62,17 +62,17 @@
   , ledger(CallerMemory(this->settings.memory))
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
-  , reducer(
-      ForwardConfig{ .name = this->settings.name,
-                     .address = this->settings.peerAddress,
-                     .domain = this->settings.domain,
-                     .seed = this->incarnation,
-                     .retryRatio = this->settings.retryRatio,
-                     .retrySlack = this->settings.retrySlack,
-                     .reservationLease = this->settings.reservationLease,
-                     .changeBound = this->settings.changeBound,
-                     .coldBound = { this->settings.coldOverage, this->settings.coldSlack },
-                     .maxBufferedBytes = CallerMemory(this->settings.memory) / kAttemptShare })
+  , reducer(ForwardConfig{ .name = this->settings.name,
+                           .address = this->settings.peerAddress,
+                           .domain = this->settings.domain,
+                           .seed = this->incarnation,
+                           .retryRatio = this->settings.retryRatio,
+                           .retrySlack = this->settings.retrySlack,
+                           .reservationLease = this->settings.reservationLease,
+                           .changeBound = this->settings.changeBound,
+                           .coldBound = { this->settings.coldOverage, this->settings.coldSlack },
+                           .maxBufferedBytes = CallerMemory(this->settings.memory) / kAttemptShare,
+                           .learnPace = this->settings.learnPace })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -443,6 +443,7 @@
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
   this->metrics.Set("forward_evacuated_domains",
                     static_cast<double>(this->reducer.Evacuations().domains.size()));
+  this->metrics.Set("forward_slow_targets", static_cast<double>(this->reducer.SlowTargets()));
   this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
   this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
   this->metrics.Set("caller_memory_bytes", static_cast<double>(this->ledger.Used()));
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -356,6 +356,11 @@
     errors.clear();
     CPPUNIT_ASSERT(!ParseForwardSettings(validSettings + "memory = 31\n", errors));
     CPPUNIT_ASSERT_EQUAL(std::size_t(8), errors.at(0).line);
+    errors.clear();
+    const auto fixed = ParseForwardSettings(validSettings + "learn_pace = false\n", errors);
+    CPPUNIT_ASSERT(fixed && !fixed->learnPace);
+    CPPUNIT_ASSERT(!ParseForwardSettings(validSettings + "learn_pace = 1\n", errors));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), errors.front().line);
     CPPUNIT_ASSERT(!IsForwardSettings("[node]\n"));
 
     // The memory of an entry beside sidecars has to fit its largest body.
