Separate the decision on an attempt from what carries it out

Cause: Launch and Admit decided and acted in one go, so the decision on a request could not be asked for without sending it.

Change: DecideLaunch, FindQuarantine and Admit are const, get the time and the random generator as arguments and return what was decided; Launch and FailLaunch carry it out. RetryAfterOf returns the range that a Retry-After is drawn from. The order of random draws is unchanged.

--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -4,6 +4,7 @@
 #define SYCAMOREPOST_CORE_FORWARD_FORWARD_IMPL_H_
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <set>
 
@@ -124,6 +125,41 @@
   bool isRetryAfterRequested = false;
 };
 
+// Whether an attempt of a request is started, or why the request fails instead.
+enum class LaunchVerdict : std::uint8_t
+{
+  Start,
+  Quarantined, // A part of its prompt is.
+  UnknownService,
+  NoTime, // The deadline is too close, or too many targets were tried.
+  NoTarget,
+  Full,
+  TooLarge,
+  Paused,
+  TooLate, // The first event is predicted to come too late.
+};
+
+inline constexpr std::array<const char*, 9> kLaunchReasons{ "",
+                                                            "a part of the prompt crashes engines",
+                                                            "the service is unknown",
+                                                            "no time is left for another target",
+                                                            "no target is known",
+                                                            "all engines' memory is taken",
+                                                            "the prompt is larger than all engines",
+                                                            "all targets want no work for a while",
+                                                            "the first event would come too late" };
+
+// The decision on the next attempt of a request, before anything is sent, reserved or recorded.
+struct LaunchDecision
+{
+  LaunchVerdict verdict = LaunchVerdict::Start;
+  Placement placement;          // Valid for Start and TooLate.
+  Duration maxFirstEventWait{}; // The longest accepted wait for the first event. Valid likewise.
+  // The next values of the members of RequestState that have these names.
+  Duration retryAfterHint{};
+  bool isRetryAfterRequested = false;
+};
+
 } // namespace sycamorepost::internal
 
 namespace sycamorepost {
@@ -180,23 +216,34 @@
     int status;
     std::string reason;
   };
-  std::optional<Refusal> Admit(internal::RequestState& aState);
+  // The bounds between which a Retry-After is drawn.
+  struct RetryAfterRange
+  {
+    Duration min;
+    Duration max;
+  };
+  std::optional<Refusal> Admit(internal::RequestState& aState, Instant aNow) const;
   void Begin(internal::RequestState& aState);
-  bool IsStarting() const;
+  bool IsStarting(Instant aNow) const;
   void BeginHeldRequests();
-  std::string PickService(const RouteRule& aRoute);
+  static std::string PickService(const RouteRule& aRoute, std::mt19937_64& aRandom);
   void Refuse(internal::RequestState& aState, const Refusal& aRefusal);
-  Duration RetryAfterOf(const internal::RequestState& aState);
+  static std::optional<RetryAfterRange> RetryAfterOf(const internal::RequestState& aState,
+                                                     int aStatus);
 
   // Attempts.
   void Launch(internal::RequestState& aState);
+  internal::LaunchDecision
+  DecideLaunch(const internal::RequestState& aState, std::mt19937_64& aRandom, Instant aNow) const;
+  void FailLaunch(internal::RequestState& aState, const internal::LaunchDecision& aDecision);
   PlacementRequest MakePlacementRequest(const internal::RequestState& aState,
-                                        const ServiceTraits& aService) const;
-  double UnreportedElsewhere(double aInDomain) const;
+                                        const ServiceTraits& aService,
+                                        Instant aNow) const;
+  double UnreportedElsewhere(double aInDomain, Instant aNow) const;
   void StartPlaced(internal::RequestState& aState, Placement aPlacement);
   std::uint32_t UrgencyOf(const internal::RequestState& aState) const;
   void ArmStallTimer(internal::RequestState& aState, Duration aTimeout);
-  Duration MaxFirstEventWait(const internal::RequestState& aState) const;
+  Duration MaxFirstEventWait(const internal::RequestState& aState, Instant aNow) const;
   Duration FirstEventTimeout(const internal::RequestState& aState) const;
   internal::RequestState* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
@@ -220,12 +267,14 @@
   bool MayRetry(const internal::RequestState& aState) const;
   bool TrySpendRetry(internal::RequestState& aState);
   void FailRequest(internal::RequestState& aState, const std::string& aReason);
+  static int FailureStatus(const internal::RequestState& aState, Instant aNow);
   void OnStall(internal::RequestState& aState);
   void OnDeadline(internal::RequestState& aState);
   void EndRequest(internal::RequestState& aState);
 
   // Crashes of targets, and the parts of prompts that cause them.
-  bool MayRun(internal::RequestState& aState);
+  std::optional<internal::LaunchDecision> FindQuarantine(const internal::RequestState& aState,
+                                                         Instant aNow) const;
   void BeginTrial(internal::RequestState& aState);
   void RecordProgress(const internal::RequestState& aState);
   void SuspectCrash(const internal::RequestState& aState);
@@ -256,7 +305,7 @@
   bool IsUsable(const std::string& aInstance) const;
   void AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer);
   void LogEvacuations(const std::set<std::string>& aBefore, const std::string& aSource);
-  std::uint32_t AbortCount(std::uint64_t aFingerprint);
+  std::uint32_t AbortCount(std::uint64_t aFingerprint, Instant aNow) const;
   void AddAbort(std::uint64_t aFingerprint);
   void RunPeriodicWork();
   void RemoveUnresponsivePeers();
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -479,11 +479,10 @@
 }
 
 std::uint32_t
-ForwardReducer::Impl::AbortCount(std::uint64_t aFingerprint)
+ForwardReducer::Impl::AbortCount(std::uint64_t aFingerprint, Instant aNow) const
 {
   const auto found = this->aborts.find(aFingerprint);
-  return found == this->aborts.end() || found->second.expiresAt < this->now ? 0
-                                                                            : found->second.count;
+  return found == this->aborts.end() || found->second.expiresAt < aNow ? 0 : found->second.count;
 }
 
 void
--- a/src/core/forward/admission/ForwardAdmission.cpp
+++ b/src/core/forward/admission/ForwardAdmission.cpp
@@ -35,7 +35,7 @@
   state.request = aRequest;
   state.arrivedAt = this->now;
   state.lastEventId = aRequest.resumeAfter;
-  if (this->IsStarting()) {
+  if (this->IsStarting(this->now)) {
     state.deadline = *this->startedAt + kStartPeriod;
     state.lastFailure = kNoConfiguration;
     this->heldWhileStarting.push_back(aRequest.handle);
@@ -48,11 +48,11 @@
 void
 ForwardReducer::Impl::Begin(RequestState& aState)
 {
-  if (const auto refusal = this->Admit(aState)) {
+  if (const auto refusal = this->Admit(aState, this->now)) {
     this->Refuse(aState, *refusal);
     return;
   }
-  aState.service = this->PickService(*aState.route);
+  aState.service = PickService(*aState.route, this->random);
   this->BudgetOf(aState.service).RecordRequest();
   this->Launch(aState);
 }
@@ -61,9 +61,9 @@
 // restart together, callers are back before these are read: refused, they would return only after
 // the Retry-After.
 bool
-ForwardReducer::Impl::IsStarting() const
+ForwardReducer::Impl::IsStarting(Instant aNow) const
 {
-  return !this->Ready() && this->now < *this->startedAt + kStartPeriod;
+  return !this->Ready() && aNow < this->startedAt.value_or(aNow) + kStartPeriod;
 }
 
 void
@@ -81,8 +81,9 @@
   }
 }
 
+// Decides whether a request is served at all, and sets what its route and account determine.
 std::optional<ForwardReducer::Impl::Refusal>
-ForwardReducer::Impl::Admit(RequestState& aState)
+ForwardReducer::Impl::Admit(RequestState& aState, Instant aNow) const
 {
   if (!this->table) {
     return Refusal{ 503, kNoConfiguration };
@@ -104,24 +105,24 @@
   if (request.deadline) {
     aState.deadline = std::min(aState.deadline, aState.arrivedAt + *request.deadline);
   }
-  if (this->stopsAt - this->now < aState.route->objective) {
+  if (this->stopsAt - aNow < aState.route->objective) {
     return Refusal{ 503, "the entry is about to stop" };
   }
   aState.deadline = std::min(aState.deadline, this->stopsAt);
-  if (this->AbortCount(request.fingerprint) >= kAbortsToBlock) {
+  if (this->AbortCount(request.fingerprint, aNow) >= kAbortsToBlock) {
     return Refusal{ 503, "the request broke off wherever it ran" };
   }
   return std::nullopt;
 }
 
 std::string
-ForwardReducer::Impl::PickService(const RouteRule& aRoute)
+ForwardReducer::Impl::PickService(const RouteRule& aRoute, std::mt19937_64& aRandom)
 {
   double total = 0;
   for (const WeightedService& share : aRoute.services) {
     total += share.weight;
   }
-  double pick = std::uniform_real_distribution<double>(0, std::max(total, 1e-9))(this->random);
+  double pick = std::uniform_real_distribution<double>(0, std::max(total, 1e-9))(aRandom);
   for (const WeightedService& share : aRoute.services) {
     pick -= share.weight;
     if (pick < 0 && share.weight > 0) {
@@ -131,17 +132,20 @@
   return aRoute.services.empty() ? "" : aRoute.services.back().service;
 }
 
-Duration
-ForwardReducer::Impl::RetryAfterOf(const RequestState& aState)
+// Returns the range of the Retry-After of a refusal; nothing when its status has none.
+std::optional<ForwardReducer::Impl::RetryAfterRange>
+ForwardReducer::Impl::RetryAfterOf(const RequestState& aState, int aStatus)
 {
+  if (aStatus != 503) {
+    return std::nullopt;
+  }
   const Duration suggested =
     aState.retryAfterHint > Duration::zero() ? aState.retryAfterHint : kDefaultRetryAfter;
   const Duration maximum = aState.isRetryAfterRequested ? Duration::max() : kMaxRetryAfter;
   const Duration base = std::clamp(suggested, kMinRetryAfter, maximum);
   // Random jitter of up to one half, so that refused callers do not retry at the same time.
   const Duration maxJitter = std::min(base, kMaxRetryAfter) / 2;
-  return base +
-         Duration(std::uniform_int_distribution<std::int64_t>(0, maxJitter.count())(this->random));
+  return RetryAfterRange{ base, base + maxJitter };
 }
 
 void
@@ -151,8 +155,9 @@
   response.handle = aState.request.handle;
   response.status = aRefusal.status;
   response.body = aRefusal.reason + "\n";
-  if (aRefusal.status == 503) {
-    response.retryAfter = this->RetryAfterOf(aState);
+  if (const auto range = RetryAfterOf(aState, aRefusal.status)) {
+    std::uniform_int_distribution<std::int64_t> draw(0, (range->max - range->min).count());
+    response.retryAfter = range->min + Duration(draw(this->random));
   }
   this->Count("forward_refusals", std::to_string(aRefusal.status));
   this->Log(aState,
--- a/src/core/forward/request/ForwardAttempts.cpp
+++ b/src/core/forward/request/ForwardAttempts.cpp
@@ -370,8 +370,14 @@
     this->EndRequest(aState);
     return;
   }
-  const bool deadlinePassed = this->now >= aState.deadline - kMinRemaining;
-  this->Refuse(aState, { aState.runs == 0 ? 503 : (deadlinePassed ? 504 : 502), aReason });
+  this->Refuse(aState, { FailureStatus(aState, this->now), aReason });
+}
+
+int
+ForwardReducer::Impl::FailureStatus(const RequestState& aState, Instant aNow)
+{
+  const bool deadlinePassed = aNow >= aState.deadline - kMinRemaining;
+  return aState.runs == 0 ? 503 : (deadlinePassed ? 504 : 502);
 }
 
 } // namespace sycamorepost
--- a/src/core/forward/request/ForwardCrashes.cpp
+++ b/src/core/forward/request/ForwardCrashes.cpp
@@ -4,6 +4,8 @@
 
 namespace sycamorepost {
 
+using internal::LaunchDecision;
+using internal::LaunchVerdict;
 using internal::RequestState;
 using internal::SuspectedCrash;
 
@@ -21,22 +23,22 @@
 
 } // namespace
 
-// Ends a request that has quarantined parts, and returns whether it may run.
-bool
-ForwardReducer::Impl::MayRun(RequestState& aState)
+// Returns the refusal of a request that has quarantined parts; nothing when it may run.
+std::optional<LaunchDecision>
+ForwardReducer::Impl::FindQuarantine(const RequestState& aState, Instant aNow) const
 {
   if (aState.isTrial || aState.request.promptParts.empty()) {
-    return true;
+    return std::nullopt;
   }
-  const PartDecision decision = this->quarantine.Decide(aState.request.promptParts, this->now);
+  const PartDecision decision = this->quarantine.Decide(aState.request.promptParts, aNow);
   if (decision.verdict != PartVerdict::Refused) {
-    return true;
+    return std::nullopt;
   }
-  this->Count("forward_quarantine", "refused");
-  aState.retryAfterHint = decision.trialIn;
-  aState.isRetryAfterRequested = true;
-  this->FailRequest(aState, "a part of the prompt crashes engines");
-  return false;
+  LaunchDecision refusal;
+  refusal.verdict = LaunchVerdict::Quarantined;
+  refusal.retryAfterHint = decision.trialIn;
+  refusal.isRetryAfterRequested = true;
+  return refusal;
 }
 
 void
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -6,8 +6,11 @@
 namespace sycamorepost {
 
 using internal::Attempt;
+using internal::kLaunchReasons;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
+using internal::LaunchDecision;
+using internal::LaunchVerdict;
 using internal::RequestState;
 
 namespace {
@@ -58,52 +61,83 @@
 void
 ForwardReducer::Impl::Launch(RequestState& aState)
 {
-  if (!this->MayRun(aState)) {
-    return;
+  LaunchDecision decision = this->DecideLaunch(aState, this->random, this->now);
+  if (decision.verdict != LaunchVerdict::Quarantined) {
+    ++aState.placements;
   }
+  if (decision.verdict != LaunchVerdict::Start) {
+    this->FailLaunch(aState, decision);
+  } else if (!this->ReserveMemory(aState, decision.placement)) {
+    this->StartPlaced(aState, std::move(decision.placement));
+  }
+}
+
+// Decides on the next attempt of a request. Changes nothing but the state of aRandom.
+LaunchDecision
+ForwardReducer::Impl::DecideLaunch(const RequestState& aState,
+                                   std::mt19937_64& aRandom,
+                                   Instant aNow) const
+{
+  if (auto refusal = this->FindQuarantine(aState, aNow)) {
+    return *refusal;
+  }
+  LaunchDecision decision;
+  decision.retryAfterHint = aState.retryAfterHint;
+  decision.isRetryAfterRequested = aState.isRetryAfterRequested;
   const ServiceTraits* service = aState.table->FindService(aState.service);
-  const Duration remaining = aState.deadline - this->now;
-  if (!service || remaining < kMinRemaining || ++aState.placements > kMaxPlacements) {
-    this->FailRequest(aState,
-                      service ? "no time is left for another target" : "the service is unknown");
-    return;
+  const Duration remaining = aState.deadline - aNow;
+  if (!service || remaining < kMinRemaining || aState.placements >= kMaxPlacements) {
+    decision.verdict = service ? LaunchVerdict::NoTime : LaunchVerdict::UnknownService;
+    return decision;
   }
-  const PlacementRequest request = this->MakePlacementRequest(aState, *service);
-  Placement placement =
-    ChoosePlacement(request, this->targets, this->loadTracker, this->random, this->now);
-  if (placement.status != PlacementStatus::Placed) {
-    static constexpr std::array<const char*, 5> kReasons{ "",
-                                                          "no target is known",
-                                                          "all engines' memory is taken",
-                                                          "the prompt is larger than all engines",
-                                                          "all targets want no work for a while" };
-    aState.retryAfterHint = FromMs(placement.waitMs);
-    aState.isRetryAfterRequested = placement.status == PlacementStatus::Paused;
-    this->FailRequest(aState, kReasons.at(static_cast<std::size_t>(placement.status)));
-    return;
+  const PlacementRequest request = this->MakePlacementRequest(aState, *service, aNow);
+  decision.placement = ChoosePlacement(request, this->targets, this->loadTracker, aRandom, aNow);
+  const PlacementStatus status = decision.placement.status;
+  if (status != PlacementStatus::Placed) {
+    static constexpr std::array<LaunchVerdict, 5> kVerdicts{ LaunchVerdict::Start,
+                                                             LaunchVerdict::NoTarget,
+                                                             LaunchVerdict::Full,
+                                                             LaunchVerdict::TooLarge,
+                                                             LaunchVerdict::Paused };
+    decision.verdict = kVerdicts.at(static_cast<std::size_t>(status));
+    decision.retryAfterHint = FromMs(decision.placement.waitMs);
+    decision.isRetryAfterRequested = status == PlacementStatus::Paused;
+    return decision;
   }
-  const Duration firstEvent = FromMs(placement.firstEventMs);
-  if (firstEvent > std::min(remaining, this->MaxFirstEventWait(aState))) {
-    aState.retryAfterHint = firstEvent;
-    this->recentRefusals[aState.request.fingerprint] = this->now + kRefusalTtl;
-    this->FailRequest(aState, "the first event would come too late");
-    return;
+  const Duration firstEvent = FromMs(decision.placement.firstEventMs);
+  decision.maxFirstEventWait = std::min(remaining, this->MaxFirstEventWait(aState, aNow));
+  if (firstEvent > decision.maxFirstEventWait) {
+    decision.verdict = LaunchVerdict::TooLate;
+    decision.retryAfterHint = firstEvent;
   }
-  if (!this->ReserveMemory(aState, placement)) {
-    this->StartPlaced(aState, std::move(placement));
+  return decision;
+}
+
+// Ends a request for which no attempt is started.
+void
+ForwardReducer::Impl::FailLaunch(RequestState& aState, const LaunchDecision& aDecision)
+{
+  aState.retryAfterHint = aDecision.retryAfterHint;
+  aState.isRetryAfterRequested = aDecision.isRetryAfterRequested;
+  if (aDecision.verdict == LaunchVerdict::Quarantined) {
+    this->Count("forward_quarantine", "refused");
+  } else if (aDecision.verdict == LaunchVerdict::TooLate) {
+    this->recentRefusals[aState.request.fingerprint] = this->now + kRefusalTtl;
   }
+  this->FailRequest(aState, kLaunchReasons.at(static_cast<std::size_t>(aDecision.verdict)));
 }
 
 PlacementRequest
 ForwardReducer::Impl::MakePlacementRequest(const RequestState& aState,
-                                           const ServiceTraits& aService) const
+                                           const ServiceTraits& aService,
+                                           Instant aNow) const
 {
   PlacementRequest request;
   request.service = &aService;
   request.promptTokens = aState.request.promptTokens;
   request.outputTokens = aState.request.outputTokens;
   request.objective =
-    std::min(aState.route->objective, (aState.deadline - this->now) / kFirstEventDivisor);
+    std::min(aState.route->objective, (aState.deadline - aNow) / kFirstEventDivisor);
   request.gapObjective = aState.route->gapObjective;
   request.strictGap = aState.table->MinGapObjective();
   request.relaxedGap = aState.table->RelaxedGapObjective();
@@ -113,23 +147,23 @@
   request.domain = this->config.domain;
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
-  request.unreportedPrompts = this->promptRate.PerSecond(this->now) *
+  request.unreportedPrompts = this->promptRate.PerSecond(aNow) *
                               static_cast<double>(this->peers.size()) *
                               std::chrono::duration<double>(reportDelay).count();
-  request.unreportedPromptsElsewhere = this->UnreportedElsewhere(request.unreportedPrompts);
+  request.unreportedPromptsElsewhere = this->UnreportedElsewhere(request.unreportedPrompts, aNow);
   return request;
 }
 
 // Returns the expected number of prompts that entries of any failure domain have placed and not yet
 // reported. aInDomain is that of this entry's domain.
 double
-ForwardReducer::Impl::UnreportedElsewhere(double aInDomain) const
+ForwardReducer::Impl::UnreportedElsewhere(double aInDomain, Instant aNow) const
 {
   std::size_t remoteEntries = 0;
   for (const auto& [name, domain] : this->domains) {
     remoteEntries += domain.entries;
   }
-  return aInDomain + this->promptRate.PerSecond(this->now) * static_cast<double>(remoteEntries) *
+  return aInDomain + this->promptRate.PerSecond(aNow) * static_cast<double>(remoteEntries) *
                        std::chrono::duration<double>(kDomainReportAge).count();
 }
 
@@ -137,7 +171,7 @@
 // be late, so a few are refused for the others to be on time. A caller that retries has waited
 // already and may wait longer.
 Duration
-ForwardReducer::Impl::MaxFirstEventWait(const RequestState& aState) const
+ForwardReducer::Impl::MaxFirstEventWait(const RequestState& aState, Instant aNow) const
 {
   const Duration objective = aState.route->objective;
   const bool started = aState.reachedAttempts > 0 || aState.headSent;
@@ -145,7 +179,7 @@
     return Duration::max();
   }
   const auto refusal = this->recentRefusals.find(aState.request.fingerprint);
-  const bool isRetry = refusal != this->recentRefusals.end() && refusal->second > this->now;
+  const bool isRetry = refusal != this->recentRefusals.end() && refusal->second > aNow;
   return isRetry ? objective * kRetryWaitObjectives
                  : std::chrono::duration_cast<Duration>(objective * kMaxWaitShare);
 }
--- a/src/core/forward/request/ForwardReservations.cpp
+++ b/src/core/forward/request/ForwardReservations.cpp
@@ -141,7 +141,9 @@
                 placement.placedWork.end(),
                 [this](const PlacedWork& aWork) { return this->IsUsable(aWork.instance); });
   if (granted && isUsable) {
-    if (this->MayRun(aState)) {
+    if (const auto refusal = this->FindQuarantine(aState, this->now)) {
+      this->FailLaunch(aState, *refusal);
+    } else {
       this->StartPlaced(aState, std::move(placement));
     }
     return;
