Explain where a request would go, by the decision code of a request

Cause: an operator could see the state that an entry assumes, but not what it decides from it.

Change: ForwardReducer::Explain runs admission, the choice of the service and DecideLaunch on a state that is never among the requests, with a copy of the random generator, and returns a PlacementExplanation. ChoosePlacement fills a PlacementRanking on request. The cost of a target is a PlacementCost whose parts say why a target lost; the sums are added in the same order as before, except those of MoveDecoderFirst, which may differ in the last bit.

--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -16,6 +16,7 @@
 #include "sycamorepost/Effects.h"
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/placement/Explanation.h"
 #include "sycamorepost/forward/sharing/EntryGroup.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/PartQuarantine.h"
@@ -421,6 +422,11 @@
   // Returns the number of requests in flight.
   std::size_t InFlight() const;
 
+  // Returns what would be done with a request that arrived now, and why. Nothing is sent, reserved,
+  // counted or logged. Random choices are those that the next request would get, as they are drawn
+  // from a copy of the random generator.
+  PlacementExplanation Explain(const ForwardRequest& aRequest, Instant aNow) const;
+
   // Returns the complete state in a human-readable form.
   nlohmann::json Dump(Instant aNow) const;
 
--- a/include/sycamorepost/forward/admission/RouteTable.h
+++ b/include/sycamorepost/forward/admission/RouteTable.h
@@ -117,6 +117,10 @@
   // Returns the account that a key belongs to, or null.
   const RouteAccount* FindAccountByKey(const std::string& aKey) const;
 
+  // Returns one of the keys of an account, or null when the account is unknown or has none. Takes
+  // time proportional to the number of keys.
+  const std::string* FindKeyOf(const std::string& aAccountName) const;
+
   // Returns a service, or null.
   const ServiceTraits* FindService(const std::string& aName) const;
 
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sycamorepost/forward/admission/RouteTable.h"
@@ -92,14 +93,36 @@
   double waitMs = 0;                  // When full or paused: time until there is capacity.
 };
 
+// A target that could have been chosen and was not.
+struct LosingTarget
+{
+  const RegisteredTarget* target = nullptr;
+  double firstEventMs = 0; // Predicted for the request on this target alone; 0 for a plain call.
+  // The chosen target that it was compared with; null when the memory of no combination sufficed.
+  const RegisteredTarget* comparedWith = nullptr;
+  double extraCostMs = 0;    // What it costs more; 0 when the choice between the two was random.
+  const char* mainCost = ""; // What causes most of it, in words.
+};
+
+// How a placement came about. Valid as long as the targets.
+struct PlacementRanking
+{
+  std::vector<LosingTarget> losers; // The best first.
+  std::size_t candidates = 0;       // Targets that could be chosen, with the chosen ones.
+  // The target was chosen at random among so many, as they are equal or nearly so.
+  std::size_t equalChoices = 0;
+  std::vector<std::pair<const RegisteredTarget*, Exclusion>> excluded; // Those of the service.
+};
+
 // Chooses the target and the helpers of one request. Returns a status other than Placed when there
-// is none.
+// is none. Describes the choice in aRanking, unless that is null.
 Placement
 ChoosePlacement(const PlacementRequest& aRequest,
                 const std::map<std::string, RegisteredTarget>& aTargets,
                 const LoadTracker& aLoadTracker,
                 std::mt19937_64& aRandom,
-                Instant aNow);
+                Instant aNow,
+                PlacementRanking* aRanking = nullptr);
 
 } // namespace sycamorepost
 
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -204,6 +204,7 @@
   const EvacuationView& Evacuations() const { return this->evacuated.View(); }
   std::size_t DomainRank(Instant aNow) const;
   nlohmann::json Dump(Instant aNow) const;
+  PlacementExplanation Explain(const ForwardRequest& aRequest, Instant aNow) const;
 
   std::vector<ForwardEffect> effects;
   Instant now;
@@ -224,6 +225,7 @@
   };
   std::optional<Refusal> Admit(internal::RequestState& aState, Instant aNow) const;
   void Begin(internal::RequestState& aState);
+  Instant StartDeadline(Instant aNow) const;
   bool IsStarting(Instant aNow) const;
   void BeginHeldRequests();
   static std::string PickService(const RouteRule& aRoute, std::mt19937_64& aRandom);
@@ -233,8 +235,10 @@
 
   // Attempts.
   void Launch(internal::RequestState& aState);
-  internal::LaunchDecision
-  DecideLaunch(const internal::RequestState& aState, std::mt19937_64& aRandom, Instant aNow) const;
+  internal::LaunchDecision DecideLaunch(const internal::RequestState& aState,
+                                        std::mt19937_64& aRandom,
+                                        Instant aNow,
+                                        PlacementRanking* aRanking = nullptr) const;
   void FailLaunch(internal::RequestState& aState, const internal::LaunchDecision& aDecision);
   PlacementRequest MakePlacementRequest(const internal::RequestState& aState,
                                         const ServiceTraits& aService,
@@ -249,6 +253,15 @@
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
   void EndWork(const internal::Attempt& aAttempt, bool aCancel);
 
+  // Explanations.
+  static ExplainedRefusal
+  ExplainRefusal(const internal::RequestState& aState, int aStatus, const std::string& aReason);
+  void DescribeDecision(const internal::LaunchDecision& aDecision,
+                        const PlacementRanking& aRanking,
+                        Instant aNow,
+                        PlacementExplanation& aExplanation) const;
+  ExplainedTarget DescribeTarget(const RegisteredTarget& aTarget, Instant aNow) const;
+
   // Attempts beside the current one.
   void SetAside(internal::RequestState& aState);
   void MakeCurrent(internal::RequestState& aState, std::uint64_t aAttempt);
--- a/src/core/forward/admission/ForwardAdmission.cpp
+++ b/src/core/forward/admission/ForwardAdmission.cpp
@@ -36,7 +36,7 @@
   state.arrivedAt = this->now;
   state.lastEventId = aRequest.resumeAfter;
   if (this->IsStarting(this->now)) {
-    state.deadline = *this->startedAt + kStartPeriod;
+    state.deadline = this->StartDeadline(this->now);
     state.lastFailure = kNoConfiguration;
     this->heldWhileStarting.push_back(aRequest.handle);
     this->SetWake(state);
@@ -57,13 +57,20 @@
   this->Launch(aState);
 }
 
+// Returns until when requests are held at the start.
+Instant
+ForwardReducer::Impl::StartDeadline(Instant aNow) const
+{
+  return this->startedAt.value_or(aNow) + kStartPeriod;
+}
+
 // Returns whether the first configuration and registrations are about to arrive. When all entries
 // restart together, callers are back before these are read: refused, they would return only after
 // the Retry-After.
 bool
 ForwardReducer::Impl::IsStarting(Instant aNow) const
 {
-  return !this->Ready() && aNow < this->startedAt.value_or(aNow) + kStartPeriod;
+  return !this->Ready() && aNow < this->StartDeadline(aNow);
 }
 
 void
--- a/src/core/forward/admission/RouteTable.cpp
+++ b/src/core/forward/admission/RouteTable.cpp
@@ -78,6 +78,16 @@
   return found == this->accountIndexByKey.end() ? nullptr : &this->accounts[found->second];
 }
 
+const std::string*
+RouteTable::FindKeyOf(const std::string& aAccountName) const
+{
+  const auto found = std::find_if(
+    this->accountIndexByKey.begin(), this->accountIndexByKey.end(), [&](const auto& aEntry) {
+      return this->accounts[aEntry.second].name == aAccountName;
+    });
+  return found == this->accountIndexByKey.end() ? nullptr : &found->first;
+}
+
 const ServiceTraits*
 RouteTable::FindService(const std::string& aName) const
 {
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -1,15 +1,20 @@
 #include "sycamorepost/forward/placement/Placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 
+#include "PlacementCost.h"
 #include "PlacementMemory.h"
 #include "sycamorepost/forward/load/EngineEstimate.h"
 
 namespace sycamorepost {
 
 using internal::Candidate;
+using internal::CostPart;
+using internal::kCostParts;
 using internal::kPlannedMemoryShare;
+using internal::PlacementCost;
 using internal::PlanMemory;
 
 namespace {
@@ -88,6 +93,30 @@
 // exchange in two costs about a second attempt.
 constexpr double kFailureRateMs = 600;
 
+bool
+IsCandidate(Exclusion aExclusion, bool aIncludeAvoided)
+{
+  return aExclusion == Exclusion::None || (aIncludeAvoided && aExclusion == Exclusion::Avoided);
+}
+
+// Returns the targets of the service that are no candidates.
+std::vector<std::pair<const RegisteredTarget*, Exclusion>>
+ListExcluded(const PlacementRequest& aRequest,
+             const std::map<std::string, RegisteredTarget>& aTargets,
+             const LoadTracker& aLoadTracker,
+             bool aIncludeAvoided,
+             Instant aNow)
+{
+  std::vector<std::pair<const RegisteredTarget*, Exclusion>> excluded;
+  for (const auto& [instance, target] : aTargets) {
+    const Exclusion exclusion = FindExclusion(aRequest, target, aLoadTracker, aNow);
+    if (exclusion != Exclusion::OtherService && !IsCandidate(exclusion, aIncludeAvoided)) {
+      excluded.emplace_back(&target, exclusion);
+    }
+  }
+  return excluded;
+}
+
 std::vector<Candidate>
 CollectCandidates(const PlacementRequest& aRequest,
                   const std::map<std::string, RegisteredTarget>& aTargets,
@@ -98,9 +127,7 @@
   std::vector<Candidate> candidates;
   for (const auto& [instance, target] : aTargets) {
     const Exclusion exclusion = FindExclusion(aRequest, target, aLoadTracker, aNow);
-    const bool usable =
-      exclusion == Exclusion::None || (aIncludeAvoided && exclusion == Exclusion::Avoided);
-    if (usable) {
+    if (IsCandidate(exclusion, aIncludeAvoided)) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
       candidate.prefillMs = candidate.load.PrefillMs(aNow);
       candidates.push_back(candidate);
@@ -132,14 +159,46 @@
   return placement;
 }
 
-double
+PlacementCost
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
            double aRemoteMs,
            const LoadTracker& aLoadTracker)
 {
-  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
-  return distance + aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
+  PlacementCost cost;
+  cost.distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
+  cost.failures = aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
+  return cost;
+}
+
+// What candidates are compared by.
+using CostFunction = std::function<PlacementCost(const Candidate&)>;
+
+// Explains why a candidate lost against a chosen one. The first criterion that differs decides;
+// without a difference the choice between the two was random.
+LosingTarget
+CompareWithChosen(const Candidate& aLoser,
+                  const Candidate& aChosen,
+                  const std::vector<CostFunction>& aCriteria)
+{
+  LosingTarget loser{ .target = aLoser.target, .comparedWith = aChosen.target };
+  for (const CostFunction& costOf : aCriteria) {
+    const PlacementCost cost = costOf(aLoser);
+    const PlacementCost chosenCost = costOf(aChosen);
+    if (cost.Total() > chosenCost.Total()) {
+      const auto extra = [&](const CostPart& aPart) {
+        return cost.*aPart.ms - chosenCost.*aPart.ms;
+      };
+      const auto* main = std::max_element(
+        kCostParts.begin(), kCostParts.end(), [&](const CostPart& aLeft, const CostPart& aRight) {
+          return extra(aLeft) < extra(aRight);
+        });
+      loser.extraCostMs = cost.Total() - chosenCost.Total();
+      loser.mainCost = main->name;
+      break;
+    }
+  }
+  return loser;
 }
 
 void
@@ -152,22 +211,44 @@
     });
 }
 
+// Returns how many candidates cost no more than aCost.
+std::size_t
+CountUpTo(const std::vector<Candidate>& aCandidates, double aCost)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aCandidates.begin(), aCandidates.end(), [aCost](const Candidate& aCandidate) {
+      return aCandidate.cost <= aCost;
+    }));
+}
+
 // A plain call waits for the calls before it. Their duration is unknown, so a position in the queue
 // counts as much as a round trip.
 Placement
 PlacePlain(const PlacementRequest& aRequest,
            std::vector<Candidate> aCandidates,
            const LoadTracker& aLoadTracker,
-           std::mt19937_64& aRandom)
+           std::mt19937_64& aRandom,
+           PlacementRanking* aRanking)
 {
-  for (Candidate& candidate : aCandidates) {
+  const CostFunction costOf = [&](const Candidate& aCandidate) {
     const double load =
-      static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
-    candidate.cost =
-      load * 2 * kRemoteDomainMs + CommonCost(aRequest, candidate, kRemoteDomainMs, aLoadTracker);
-    candidate.cost += load >= 1 ? 2 * kRemoteDomainMs : 0;
+      static_cast<double>(aCandidate.load.running) / std::max(1U, aCandidate.target->slots);
+    PlacementCost cost = CommonCost(aRequest, aCandidate, kRemoteDomainMs, aLoadTracker);
+    cost.wait = load * 2 * kRemoteDomainMs;
+    cost.fullTarget = load >= 1 ? 2 * kRemoteDomainMs : 0;
+    return cost;
+  };
+  for (Candidate& candidate : aCandidates) {
+    candidate.cost = costOf(candidate).Total();
   }
   SortByCost(aCandidates, aRandom);
+  if (aRanking) {
+    aRanking->equalChoices = CountUpTo(aCandidates, aCandidates.front().cost);
+    for (std::size_t i = 1; i < aCandidates.size(); ++i) {
+      aRanking->losers.push_back(
+        CompareWithChosen(aCandidates[i], aCandidates.front(), { costOf }));
+    }
+  }
   Placement placement;
   placement.status = PlacementStatus::Placed;
   placement.target = *aCandidates.front().target;
@@ -214,14 +295,18 @@
 
 // Returns the cost, in milliseconds, of decoding a long request on an engine. Preferred are free KV
 // cache, no strict stream, and relaxed streams over an engine that only prefills.
-double
+PlacementCost
 DecodeCost(const EngineTraits& aTraits, const Candidate& aCandidate)
 {
   const double memory = static_cast<double>(aCandidate.load.kvTokens) /
                         std::max<double>(1, static_cast<double>(aTraits.kvCapacityTokens));
   const bool hasOwnKind = aCandidate.load.running > aCandidate.load.strictStreams;
-  return aCandidate.waitMs + aCandidate.load.strictStreams * kStrictStreamMs +
-         memory * kFullMemoryMs - (hasOwnKind ? kFirstOfKindMs : 0);
+  PlacementCost cost;
+  cost.wait = aCandidate.waitMs;
+  cost.strictStreams = aCandidate.load.strictStreams * kStrictStreamMs;
+  cost.memory = memory * kFullMemoryMs;
+  cost.firstOfKind = hasOwnKind ? -kFirstOfKindMs : 0;
+  return cost;
 }
 
 // Moves the engine that decodes to the front; the others keep their order.
@@ -230,7 +315,7 @@
 {
   const auto best = std::min_element(
     aCandidates.begin(), aCandidates.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
-      return DecodeCost(aTraits, aLeft) < DecodeCost(aTraits, aRight);
+      return DecodeCost(aTraits, aLeft).Total() < DecodeCost(aTraits, aRight).Total();
     });
   std::rotate(aCandidates.begin(), best, best + 1);
 }
@@ -251,18 +336,25 @@
          RelaxedWeight(aCandidate) * MissProbability(gap, ToMs(aRequest.relaxedGap));
 }
 
+// Returns the predicted time to the first event on engines that start after aWaitMs.
+double
+FirstEventAfter(const PlacementRequest& aRequest, double aWaitMs, std::size_t aParts)
+{
+  const EngineTraits& traits = *aRequest.service->engine;
+  return aWaitMs + EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts) +
+         EstimatePassMs(traits, 1, aRequest.promptTokens);
+}
+
 double
 FirstEventMs(const PlacementRequest& aRequest,
              const std::vector<Candidate>& aSorted,
              std::size_t aParts)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
   double wait = 0;
   for (std::size_t i = 0; i < aParts; ++i) {
     wait = std::max(wait, aSorted[i].waitMs);
   }
-  return wait + EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts) +
-         EstimatePassMs(traits, 1, aRequest.promptTokens);
+  return FirstEventAfter(aRequest, wait, aParts);
 }
 
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
@@ -301,20 +393,18 @@
   return aRequest.gapObjective <= aRequest.strictGap;
 }
 
-// Returns the cost, in milliseconds, of running a short request on an engine, beside the wait
-// there.
-double
-ShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate)
+// Adds the cost of running a short request on an engine, beside the wait there.
+void
+AddShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate, PlacementCost& aCost)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
-  const double firstEventMs = aCandidate.waitMs + EstimatePrefillMs(traits, aRequest.promptTokens) +
-                              EstimatePassMs(traits, 1, aRequest.promptTokens);
-  const double maxStrict = kStrictSlotShare * traits.slots;
+  const double firstEventMs = FirstEventAfter(aRequest, aCandidate.waitMs, 1);
+  const double maxStrict = kStrictSlotShare * aRequest.service->engine->slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
   const double packed = std::min<double>(aCandidate.load.strictStreams, maxStrict);
-  return MissProbability(firstEventMs, ToMs(aRequest.objective)) * kLateShortMs +
-         excess * kCrowdingMs + (aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0) -
-         packed * kPackingGainMs;
+  aCost.lateness = MissProbability(firstEventMs, ToMs(aRequest.objective)) * kLateShortMs;
+  aCost.crowding = excess * kCrowdingMs;
+  aCost.firstOfKind = aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0;
+  aCost.packing = -packed * kPackingGainMs;
 }
 
 // Returns a placement with the decoding engine, the helpers and the prefill time of each.
@@ -344,7 +434,8 @@
 
 // Entries with the same knowledge would all choose the same engine. Chooses at random among as many
 // engines as there may be prompts that this entry does not know of, if they cost little more.
-void
+// Returns the number of engines that could have become the chosen one.
+std::size_t
 SpreadChoice(double aUnreportedPrompts, std::vector<Candidate>& aSorted, std::mt19937_64& aRandom)
 {
   const double maxCost = aSorted.front().cost + kSpreadToleranceMs;
@@ -355,14 +446,50 @@
   const auto closeCount = static_cast<double>(std::distance(aSorted.begin(), tooCostly));
   const auto last = static_cast<std::ptrdiff_t>(std::min(aUnreportedPrompts, closeCount - 1));
   const auto pick = std::uniform_int_distribution<std::ptrdiff_t>(0, last)(aRandom);
+  const std::size_t equalChoices = CountUpTo(aSorted, aSorted[static_cast<std::size_t>(last)].cost);
   std::rotate(aSorted.begin(), aSorted.begin() + pick, aSorted.begin() + pick + 1);
+  return equalChoices;
+}
+
+// Describes the choice of the first aChosenCount candidates of aOrdered; 0 when the memory of no
+// combination sufficed. By aCriteria the engine that decodes was chosen, and by the last of them
+// the helpers. The choice was random among the first aSpreadCount candidates.
+void
+DescribeChoice(const PlacementRequest& aRequest,
+               const std::vector<Candidate>& aOrdered,
+               std::size_t aChosenCount,
+               const std::vector<CostFunction>& aCriteria,
+               std::size_t aSpreadCount,
+               PlacementRanking& aRanking)
+{
+  const std::vector<CostFunction> helperCriteria{ aCriteria.back() };
+  for (std::size_t i = aChosenCount; i < aOrdered.size(); ++i) {
+    LosingTarget loser{ .target = aOrdered[i].target };
+    if (aChosenCount == 1 && i < aSpreadCount) {
+      loser.comparedWith = aOrdered.front().target;
+    } else if (aChosenCount > 0) {
+      loser = CompareWithChosen(
+        aOrdered[i], aOrdered[aChosenCount - 1], aChosenCount == 1 ? aCriteria : helperCriteria);
+    }
+    loser.firstEventMs = FirstEventAfter(aRequest, aOrdered[i].waitMs, 1);
+    aRanking.losers.push_back(loser);
+  }
+  const auto equalsFirst = [&](const Candidate& aCandidate) {
+    return std::all_of(aCriteria.begin(), aCriteria.end(), [&](const CostFunction& aCostOf) {
+      return aCostOf(aCandidate).Total() == aCostOf(aOrdered.front()).Total();
+    });
+  };
+  const auto equals = std::count_if(aOrdered.begin(), aOrdered.end(), equalsFirst);
+  aRanking.equalChoices =
+    aChosenCount == 0 ? 0 : std::max(aSpreadCount, static_cast<std::size_t>(equals));
 }
 
 Placement
 PlacePrompt(const PlacementRequest& aRequest,
             std::vector<Candidate> aCandidates,
             const LoadTracker& aLoadTracker,
-            std::mt19937_64& aRandom)
+            std::mt19937_64& aRandom,
+            PlacementRanking* aRanking)
 {
   const EngineTraits& traits = *aRequest.service->engine;
   const bool isShort = EstimatePrefillMs(traits, aRequest.promptTokens) <=
@@ -370,22 +497,43 @@
   // Without reports the own domain is no better known than the others.
   const double remoteMs =
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
+  const CostFunction costOf = [&](const Candidate& aCandidate) {
+    PlacementCost cost = CommonCost(aRequest, aCandidate, remoteMs, aLoadTracker);
+    cost.wait = aCandidate.waitMs;
+    if (isShort) {
+      AddShortCost(aRequest, aCandidate, cost);
+    } else {
+      cost.strictStreams = aCandidate.load.strictStreams * kStrictStreamMs;
+      cost.relaxedStreams = RelaxedWeight(aCandidate) * kRelaxedWeightMs;
+    }
+    return cost;
+  };
+  const CostFunction decodeCostOf = [&](const Candidate& aCandidate) {
+    return DecodeCost(traits, aCandidate);
+  };
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
-    candidate.cost = candidate.waitMs + CommonCost(aRequest, candidate, remoteMs, aLoadTracker) +
-                     (isShort ? ShortCost(aRequest, candidate)
-                              : candidate.load.strictStreams * kStrictStreamMs +
-                                  RelaxedWeight(candidate) * kRelaxedWeightMs);
+    candidate.cost = costOf(candidate).Total();
   }
   SortByCost(aCandidates, aRandom);
+  std::size_t spreadCount = 1;
   if (isShort) {
     const bool isLocal = aCandidates.front().target->domain == aRequest.domain;
-    SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
-                 aCandidates,
-                 aRandom);
+    spreadCount =
+      SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
+                   aCandidates,
+                   aRandom);
   } else {
     MoveDecoderFirst(aCandidates, traits);
   }
+  const auto describe = [&](std::size_t aChosenCount) {
+    if (aRanking) {
+      const std::vector<CostFunction> criteria =
+        isShort ? std::vector<CostFunction>{ costOf }
+                : std::vector<CostFunction>{ decodeCostOf, costOf };
+      DescribeChoice(aRequest, aCandidates, aChosenCount, criteria, spreadCount, *aRanking);
+    }
+  };
   const std::uint64_t need = std::uint64_t{ aRequest.promptTokens } + aRequest.outputTokens;
   const std::size_t maxParts = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
@@ -397,9 +545,11 @@
     placement = MakePlacement(aRequest, chosen, FirstEventMs(aRequest, aCandidates, parts));
     if (PlanMemory(traits, need, chosen, placement)) {
       placement.status = PlacementStatus::Placed;
+      describe(parts);
       return placement;
     }
   }
+  describe(0);
   const double plannedTokens =
     kPlannedMemoryShare * static_cast<double>(traits.kvCapacityTokens * maxParts);
   placement.status =
@@ -438,19 +588,25 @@
                 const std::map<std::string, RegisteredTarget>& aTargets,
                 const LoadTracker& aLoadTracker,
                 std::mt19937_64& aRandom,
-                Instant aNow)
+                Instant aNow,
+                PlacementRanking* aRanking)
 {
   std::vector<Candidate> candidates =
     CollectCandidates(aRequest, aTargets, aLoadTracker, false, aNow);
-  if (candidates.empty()) {
+  const bool includesAvoided = candidates.empty();
+  if (includesAvoided) {
     candidates = CollectCandidates(aRequest, aTargets, aLoadTracker, true, aNow);
   }
+  if (aRanking) {
+    aRanking->candidates = candidates.size();
+    aRanking->excluded = ListExcluded(aRequest, aTargets, aLoadTracker, includesAvoided, aNow);
+  }
   if (candidates.empty()) {
     return MakeUnplaced(aRequest, aTargets, aNow);
   }
   const bool isPrompt = aRequest.service->engine.has_value() && aRequest.promptTokens > 0;
-  return isPrompt ? PlacePrompt(aRequest, std::move(candidates), aLoadTracker, aRandom)
-                  : PlacePlain(aRequest, std::move(candidates), aLoadTracker, aRandom);
+  return isPrompt ? PlacePrompt(aRequest, std::move(candidates), aLoadTracker, aRandom, aRanking)
+                  : PlacePlain(aRequest, std::move(candidates), aLoadTracker, aRandom, aRanking);
 }
 
 } // namespace sycamorepost
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -76,7 +76,8 @@
 LaunchDecision
 ForwardReducer::Impl::DecideLaunch(const RequestState& aState,
                                    std::mt19937_64& aRandom,
-                                   Instant aNow) const
+                                   Instant aNow,
+                                   PlacementRanking* aRanking) const
 {
   if (auto refusal = this->FindQuarantine(aState, aNow)) {
     return *refusal;
@@ -91,7 +92,8 @@
     return decision;
   }
   const PlacementRequest request = this->MakePlacementRequest(aState, *service, aNow);
-  decision.placement = ChoosePlacement(request, this->targets, this->loadTracker, aRandom, aNow);
+  decision.placement =
+    ChoosePlacement(request, this->targets, this->loadTracker, aRandom, aNow, aRanking);
   const PlacementStatus status = decision.placement.status;
   if (status != PlacementStatus::Placed) {
     static constexpr std::array<LaunchVerdict, 5> kVerdicts{ LaunchVerdict::Start,
