Serve the explanation of a placement on the admin address and by a command

Change: GET /where on the admin address of a forwarding entry, and the command sycamorepost where, which asks it. The question names the client account; the entry asks with one of the account's keys, so that admission is that of a caller and no way past it exists. Queries are encoded and decoded by Boost.URL, whose sources are compiled once with Asio and Beast.

--- a/apps/cli/main.cpp
+++ b/apps/cli/main.cpp
@@ -1,4 +1,5 @@
-// The operators' command line tool: rule files, process dumps and status lines.
+// The operators' command line tool: rule files, process dumps, status lines and where a request
+// would go.
 #include <array>
 #include <cstdio>
 #include <functional>
@@ -10,12 +11,21 @@
 #include "runtime/Blocking.h"
 #include "runtime/RuleAdmin.h"
 #include "runtime/Settings.h"
+#include "runtime/WherePage.h"
 #include "sycamorepost/internal/Text.h"
 
 DEFINE_string(log, "", "Address of the log service as ip:port, for the rules commands.");
 DEFINE_int64(base,
              -1,
              "rules publish: the version that the file was edited from; 0 for the first version.");
+DEFINE_string(entry, "", "where: the admin address of the entry as ip:port.");
+DEFINE_string(host, "", "where: the host of the request.");
+DEFINE_string(route, "", "where: the path of the request, which selects its route.");
+DEFINE_string(account, "", "where: the client account of the request; empty for none.");
+// Texts, as gflags ends the process with another status than kExitUsage on an invalid number.
+DEFINE_string(tokens, "", "where: the tokens of the prompt; 0 for a plain call.");
+DEFINE_string(output, "0", "where: the expected output tokens.");
+DEFINE_bool(json, false, "where: print the response of the entry as JSON.");
 
 namespace sycamorepost {
 namespace {
@@ -38,14 +48,19 @@
   sycamorepost rules history --log IP:PORT          list the edits with the result of each
   sycamorepost dump ADMIN_IP:PORT                   print the state of a process as JSON
   sycamorepost status ADMIN_IP:PORT [...]           print one line per process
+  sycamorepost where --entry ADMIN_IP:PORT --host HOST --route PATH [--account NAME] --tokens N
+                     [--output M] [--json]          print where a forwarding entry would send such a
+                                                    request now, and why; nothing is sent
 
 Examples:
   sycamorepost rules check rules.txt
   sycamorepost rules publish rules.txt --log 10.0.0.9:7300 --base 12
   sycamorepost status 10.0.1.1:7001 10.0.2.1:7001
+  sycamorepost where --entry 10.0.1.1:7001 --host quiz.example --route /draft/ --account oatlands \
+                     --tokens 5000 --output 200
 
-Exit status: 0 success, 1 invalid or unreadable rule file, 2 usage error, 3 the log or a process is
-unreachable, 4 conflict with another edit, 5 unknown whether the edit is in the log.
+Exit status: 0 success, 1 invalid or unreadable rule file, 2 usage error, also an unknown route or
+account, 3 the log or a process is unreachable, 4 conflict with another edit, 5 unknown whether the edit is in the log.
 )";
 
 using Arguments = std::vector<std::string>;
@@ -249,6 +264,38 @@
   return status;
 }
 
+int
+ShowWhere(const Arguments& aArguments)
+{
+  if (!aArguments.empty()) {
+    return FailUsage("where takes no argument '" + aArguments[0] + "'");
+  }
+  if (!ParseEndpoint(FLAGS_entry)) {
+    return FailUsage("where requires --entry as ADMIN_IP:PORT");
+  }
+  if (FLAGS_host.empty() || FLAGS_route.empty() || FLAGS_tokens.empty()) {
+    return FailUsage("where requires --host, --route and --tokens");
+  }
+  std::string reason;
+  const auto question = ParseWhereQuestion(
+    { FLAGS_host, FLAGS_route, FLAGS_account, FLAGS_tokens, FLAGS_output }, reason);
+  if (!question) {
+    return FailUsage(reason);
+  }
+  const HttpReply reply = Get(FLAGS_entry, EncodeWhereQuestion(*question));
+  if (reply.stage != HttpStage::Responded) {
+    std::cerr << FLAGS_entry << ": " << reply.reason << '\n';
+    return kExitUnreachable;
+  }
+  const auto explanation = nlohmann::json::parse(reply.body, nullptr, false);
+  if (!reply.Ok() || !explanation.is_object()) {
+    std::cerr << FLAGS_entry << ": " << ReadWhereError(reply.status, explanation) << '\n';
+    return reply.status / 100 == 4 ? kExitUsage : kExitUnreachable;
+  }
+  std::cout << (FLAGS_json ? reply.body : FormatWhere(explanation));
+  return kExitSuccess;
+}
+
 struct Command
 {
   std::string_view group; // First word of a two-word command; empty otherwise.
@@ -256,13 +303,14 @@
   int (*run)(const Arguments&);
 };
 
-constexpr std::array<Command, 6> kCommands{ {
+constexpr std::array<Command, 7> kCommands{ {
   { "rules", "check", CheckRules },
   { "rules", "publish", PublishRuleFile },
   { "rules", "show", ShowRules },
   { "rules", "history", ShowHistory },
   { "", "dump", DumpProcess },
   { "", "status", ShowStatus },
+  { "", "where", ShowWhere },
 } };
 
 int
--- a/src/net/BoostSources.cpp
+++ b/src/net/BoostSources.cpp
@@ -1,3 +1,5 @@
-// Compiles the separately compiled parts of Asio and Beast once, to keep other units fast to build.
+// Compiles the separately compiled parts of Asio, Beast and Boost.URL once, to keep other units
+// fast to build.
 #include <boost/asio/impl/src.hpp>
 #include <boost/beast/src.hpp>
+#include <boost/url/src.hpp>
--- a/src/runtime/AdminPages.cpp
+++ b/src/runtime/AdminPages.cpp
@@ -26,8 +26,12 @@
   } else if (path == "/rules" && aSource.rules) {
     std::vector<Field> fields{ { "Content-Type", "text/plain" } };
     co_await aExchange.Respond(200, std::move(fields), MakeBody(aSource.rules()));
+  } else if (path == "/where" && aSource.where) {
+    AdminReply reply = aSource.where(aRequest);
+    std::vector<Field> fields{ { "Content-Type", "application/json" } };
+    co_await aExchange.Respond(reply.status, std::move(fields), MakeBody(std::move(reply.body)));
   } else {
-    const char* pages = aSource.rules ? "/healthz, /readyz, /metrics, /dump and /rules"
+    const char* pages = aSource.rules ? "/healthz, /readyz, /metrics, /dump, /rules and /where"
                                       : "/healthz, /readyz, /metrics and /dump";
     co_await aExchange.Respond(
       404, {}, MakeBody("Not found. Available paths: " + std::string(pages) + ".\n"));
--- a/src/runtime/AdminPages.h
+++ b/src/runtime/AdminPages.h
@@ -1,5 +1,5 @@
 // Declares the admin HTTP endpoints that every daemon serves: health, readiness, metrics, dump and,
-// in forwarding entries, rules.
+// in forwarding entries, rules and where.
 #ifndef SYCAMOREPOST_RUNTIME_ADMIN_PAGES_H_
 #define SYCAMOREPOST_RUNTIME_ADMIN_PAGES_H_
 
@@ -12,13 +12,22 @@
 
 namespace sycamorepost {
 
+// The response of an endpoint that depends on the request.
+struct AdminReply
+{
+  int status = 200;
+  std::string body; // JSON.
+};
+
 // Provides the content of the admin endpoints.
 struct AdminSource
 {
   std::function<bool()> ready;          // Decides between 200 and 503 for /readyz.
   std::function<std::string()> metrics; // Prometheus text.
   std::function<nlohmann::json()> dump;
-  std::function<std::string()> rules; // Text for /rules; if empty, the path does not exist.
+  // Text for /rules and the response for /where; if empty, the paths do not exist.
+  std::function<std::string()> rules;
+  std::function<AdminReply(const HttpRequest&)> where;
 };
 
 // Serves one admin request, from an operator or from the balancer's health check. aSource must
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -12,6 +12,7 @@
 
 #include "platform/RequestCodec.h"
 #include "runtime/Node.h"
+#include "runtime/WherePage.h"
 
 namespace sycamorepost {
 
@@ -101,7 +102,10 @@
   , pages{ [this] { return this->reducer.IsReady() && !this->draining; },
            [this] { return this->FormatMetrics(); },
            [this] { return this->MakeDump(); },
-           [this] { return this->table ? this->table->Format() : std::string(); } }
+           [this] { return this->table ? this->table->Format() : std::string(); },
+           [this](const HttpRequest& aRequest) {
+             return ServeWhere(aRequest, this->table.get(), this->reducer, Now());
+           } }
   , admin(this->context,
           HttpLimits{},
           [this](HttpRequest aRequest, HttpExchange& aExchange) {
