--- a/src/core/forward/placement/ForwardExplain.cpp
+++ b/src/core/forward/placement/ForwardExplain.cpp
@@ -30,7 +30,7 @@
     return "its free memory does not suffice";
   }
   if (aLoser.extraCostMs <= 0) {
-    return "as good as " + aLoser.comparedWith->instance + ", which was chosen at random";
+    return "close to " + aLoser.comparedWith->instance + ", which was chosen at random";
   }
   return "costs " + FormatMs(aLoser.extraCostMs) + " ms more than " +
          aLoser.comparedWith->instance + ", mostly because of " + aLoser.mainCost;
--- a/test/WhereTest.cpp
+++ b/test/WhereTest.cpp
@@ -318,7 +318,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("hobart"), said.target->domain);
     CPPUNIT_ASSERT(said.firstEventMs > 0.0 && said.firstEventMs < said.maxFirstEventMs);
     CPPUNIT_ASSERT_EQUAL(std::size_t(5), said.alternatives.size());
-    CPPUNIT_ASSERT_EQUAL("as good as " + said.target->instance + ", which was chosen at random",
+    CPPUNIT_ASSERT_EQUAL("close to " + said.target->instance + ", which was chosen at random",
                          said.alternatives[0].reason);
     CPPUNIT_ASSERT_EQUAL("costs 100.0 ms more than " + said.target->instance +
                            ", mostly because of the distance to its failure domain",
@@ -400,7 +400,7 @@
       harness::Process process = harness::Process::Start(aArguments, path);
       const auto status = process.WaitForExit(harness::kAwaitTimeout);
       std::ifstream file(path);
-      const std::string text{ std::istreambuf_iterator<char>(file), {} };
+      std::string text{ std::istreambuf_iterator<char>(file), {} };
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, aStatus, status.value_or(-1));
       return text;
     };
