Mark suspected targets in the explanation of a placement

Targets that have just failed are used when no other is left; the explanation then listed them as ordinary candidates. They carry the fact suspected, and the share of failures has two digits.

--- a/src/core/forward/placement/ForwardExplain.cpp
+++ b/src/core/forward/placement/ForwardExplain.cpp
@@ -16,10 +16,10 @@
 constexpr std::size_t kMaxAlternatives = 5;
 
 std::string
-FormatMs(double aMs)
+FormatNumber(double aNumber, int aDigits = 1)
 {
   std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.1f", aMs);
+  std::snprintf(text.data(), text.size(), "%.*f", aDigits, aNumber);
   return text.data();
 }
 
@@ -32,7 +32,7 @@
   if (aLoser.extraCostMs <= 0) {
     return "close to " + aLoser.comparedWith->instance + ", which was chosen at random";
   }
-  return "costs " + FormatMs(aLoser.extraCostMs) + " ms more than " +
+  return "costs " + FormatNumber(aLoser.extraCostMs) + " ms more than " +
          aLoser.comparedWith->instance + ", mostly because of " + aLoser.mainCost;
 }
 
@@ -142,11 +142,14 @@
   const TargetLoad load = this->loadTracker.LoadOf(aTarget.instance, aNow);
   ExplainedTarget target{ aTarget.instance, aTarget.address, aTarget.domain, std::nullopt, "", {} };
   target.facts = { { "running", std::to_string(load.running) },
-                   { "read_ms", FormatMs(load.PrefillMs(aNow)) },
+                   { "read_ms", FormatNumber(load.PrefillMs(aNow)) },
                    { "memory_tokens", std::to_string(load.kvTokens) } };
   const double failureRate = this->loadTracker.FailureRate(aTarget.instance);
   if (failureRate > 0) {
-    target.facts.emplace_back("failure_share", FormatMs(failureRate));
+    target.facts.emplace_back("failure_share", FormatNumber(failureRate, 2));
+  }
+  if (this->loadTracker.IsAvoided(aTarget.instance, aNow)) {
+    target.facts.emplace_back("suspected", "yes");
   }
   if (this->notices.IsLeaving(aTarget)) {
     target.facts.emplace_back("leaving", "yes");
--- a/test/WhereTest.cpp
+++ b/test/WhereTest.cpp
@@ -363,6 +363,13 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string("1500"), FactOf(*Find(said.excluded, paused), "paused_ms"));
     CPPUNIT_ASSERT_EQUAL(std::string("yes"), FactOf(*Find(said.excluded, leaving), "leaving"));
+
+    // Avoided targets are used when there are no others, and are still marked.
+    entry.Step(AttemptEnd{ entry.starts.back().attempt, AttemptEndKind::NotConnected, "test" });
+    said = entry.reducer.Explain(MakeRequest("/draft/", 2'000), entry.now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), said.candidates);
+    CPPUNIT_ASSERT_EQUAL(std::string("yes"), FactOf(said.target.value(), "suspected"));
+    CPPUNIT_ASSERT(!Find(said.excluded, remaining) && !Find(said.excluded, unreachable));
   }
 
   void RefusalsAndHeldRequestsAreNamed()
