--- a/include/sycamorepost/forward/ForwardReducer.h
+++ b/include/sycamorepost/forward/ForwardReducer.h
@@ -18,6 +18,7 @@
 #include "sycamorepost/forward/load/LoadTracker.h"
 #include "sycamorepost/forward/placement/Explanation.h"
 #include "sycamorepost/forward/sharing/EntryGroup.h"
+#include "sycamorepost/forward/targets/ColdShares.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/PartQuarantine.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
@@ -118,6 +119,8 @@
 struct TargetsChanged
 {
   std::map<std::string, RegisteredTarget> targets;
+  std::optional<Instant> readAt; // When the registrations were read; empty for now.
+  std::int64_t unixMs = 0;       // See RegistrationReading.
 };
 
 // Another entry reports which failure domains are evacuated; a read of the store is an
@@ -387,6 +390,11 @@
   Duration reservationLease = std::chrono::seconds(3);
   // The time within which a new version of the configuration must be in force.
   Duration changeBound = std::chrono::seconds(2);
+  // Requests that all entries together may send to a cold target.
+  ColdBound coldBound;
+  // What all attempts may buffer of responses together. Beyond it, those with more than an equal
+  // share are aborted.
+  std::uint64_t maxBufferedBytes = 64ULL * 1024 * 1024;
 };
 
 // Decides for all requests of one entry. Not thread-safe.
--- a/include/sycamorepost/forward/placement/Explanation.h
+++ b/include/sycamorepost/forward/placement/Explanation.h
@@ -43,12 +43,14 @@
   std::optional<Duration> maxRetryAfter;
 };
 
-// What an entry would do with a request. It is placed, refused, or held until the entry has read
-// the configuration and the registrations for the first time.
+// What an entry would do with a request. It is placed, refused, or held after the start of the
+// entry: until it has read the configuration and the registrations, or, for a long prompt, for the
+// first load reports of its neighbours. A held request is placed by what is known afterwards.
 struct PlacementExplanation
 {
   std::uint64_t configurationVersion = 0; // 0 when no configuration is known.
   std::optional<Duration> heldFor;        // The longest time for which it would be held.
+  std::string heldUntil;                  // What it would wait for, in words; empty likewise.
   std::optional<ExplainedRefusal> refusal;
 
   std::string route;                     // Empty when no route matches.
--- a/include/sycamorepost/forward/placement/Placement.h
+++ b/include/sycamorepost/forward/placement/Placement.h
@@ -14,6 +14,7 @@
 
 #include "sycamorepost/forward/admission/RouteTable.h"
 #include "sycamorepost/forward/load/LoadTracker.h"
+#include "sycamorepost/forward/targets/ColdShares.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 #include "sycamorepost/forward/targets/TargetNotices.h"
@@ -33,7 +34,11 @@
   std::set<std::string> triedInstances;        // Instances that must not be used again.
   const TargetNotices* notices = nullptr;      // Targets that want no work; may be null.
   const EvacuatedDomains* evacuated = nullptr; // May be null.
+  const ColdShares* coldShares = nullptr;      // May be null.
   std::string domain;                          // The failure domain of the entry.
+  // The greatest cost of a long prompt to all callers, its own delay included, as a share of its
+  // weight.
+  double maxCostShare = 0.5;
   bool hearsNeighbours = true; // The load in the entry's own failure domain is known.
   // Expected prompts that other entries have placed and not yet reported: those of the entry's own
   // failure domain, and all.
@@ -47,14 +52,16 @@
   None,
   OtherService,
   Draining,
-  Evacuated,   // Its failure domain is.
-  Tried,       // The request has used it already.
-  WantsNoWork, // It has announced that it is leaving, or that it wants no work for a while.
-  Avoided,     // It has just failed. Used if no other target is left.
+  Evacuated,      // Its failure domain is.
+  Tried,          // The request has used it already.
+  WantsNoWork,    // It has announced that it is leaving, or that it wants no work for a while.
+  ColdShareSpent, // It is cold, and this entry has sent it what it may.
+  Avoided,        // It has just failed. Used if no other target is left.
 };
 
-inline constexpr std::array<const char*, 7> kExclusionNames{
-  "none", "other service", "draining", "evacuated", "tried", "wants no work", "avoided"
+inline constexpr std::array<const char*, 8> kExclusionNames{
+  "none",  "other service", "draining",         "evacuated",
+  "tried", "wants no work", "cold share spent", "avoided"
 };
 
 // Returns why a target must not get a request; the first reason, if there are several.
@@ -76,10 +83,12 @@
 enum class PlacementStatus
 {
   Placed,
-  NoTarget, // No usable target is registered.
-  Full,     // No combination of engines has enough free memory.
-  TooLarge, // The prompt exceeds the memory of all engines together.
-  Paused,   // All targets want no work for a while.
+  NoTarget,        // No usable target is registered.
+  Full,            // No combination of engines has enough free memory.
+  TooLarge,        // The prompt exceeds the memory of all engines together.
+  Paused,          // All targets want no work for a while.
+  ColdSharesSpent, // The targets that want work are cold, and this entry has sent them what it may.
+  TooCostly,       // The gaps that a long prompt adds to other streams cost more than it is worth.
 };
 
 // The chosen target with its helpers, and the predicted times.
@@ -90,7 +99,7 @@
   std::vector<PrefillHelper> helpers;
   std::vector<PlacedWork> placedWork; // The load that it adds, by target.
   double firstEventMs = 0;            // Predicted time to the first event; 0 for a plain call.
-  double waitMs = 0;                  // When full or paused: time until there is capacity.
+  double waitMs = 0;                  // When not placed: time until it may be, if that is known.
 };
 
 // A target that could have been chosen and was not.
@@ -98,10 +107,12 @@
 {
   const RegisteredTarget* target = nullptr;
   double firstEventMs = 0; // Predicted for the request on this target alone; 0 for a plain call.
-  // The chosen target that it was compared with; null when the memory of no combination sufficed.
+  // The chosen target that it was compared with; null when it was compared with none, because the
+  // request was not placed or the target was kept out.
   const RegisteredTarget* comparedWith = nullptr;
   double extraCostMs = 0;    // What it costs more; 0 when the choice between the two was random.
   const char* mainCost = ""; // What causes most of it, in words.
+  bool isKeptOut = false;    // It is cold, and gets no part of a long or divided prompt.
 };
 
 // How a placement came about. Valid as long as the targets.
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -25,6 +25,9 @@
 // so within two passes.
 inline constexpr std::uint32_t kEventsOfProgress = 3;
 
+// A prompt that takes longer to prefill is long: it delays the streams of its engines noticeably.
+inline constexpr Duration kLongPrefill = std::chrono::milliseconds(150);
+
 // With less remaining time than this, no target could respond.
 inline constexpr Duration kMinRemaining = std::chrono::milliseconds(5);
 
@@ -105,6 +108,10 @@
                        [](const OtherAttempt& aOther) { return !aOther.reservations.empty(); });
   }
 
+  // Returns whether a target may have worked for it.
+  bool HasStarted() const { return this->reachedAttempts > 0 || this->headSent; }
+
+  Instant startAt = Instant::max(); // When its first attempt starts, if that waits.
   Instant renewAt;                  // When the reservations are renewed.
   Instant stallAt = Instant::max(); // When the attempt counts as stalled.
   Instant wakeAt = Instant::max();
@@ -136,18 +143,24 @@
   Full,
   TooLarge,
   Paused,
+  ColdSharesSpent,
+  TooCostly,
   TooLate, // The first event is predicted to come too late.
 };
 
-inline constexpr std::array<const char*, 9> kLaunchReasons{ "",
-                                                            "a part of the prompt crashes engines",
-                                                            "the service is unknown",
-                                                            "no time is left for another target",
-                                                            "no target is known",
-                                                            "all engines' memory is taken",
-                                                            "the prompt is larger than all engines",
-                                                            "all targets want no work for a while",
-                                                            "the first event would come too late" };
+inline constexpr std::array<const char*, 11> kLaunchReasons{
+  "",
+  "a part of the prompt crashes engines",
+  "the service is unknown",
+  "no time is left for another target",
+  "no target is known",
+  "all engines' memory is taken",
+  "the prompt is larger than all engines",
+  "all targets want no work for a while",
+  "the targets are cold and get no more requests now",
+  "the prompt would delay too many other streams",
+  "the first event would come too late"
+};
 
 // The decision on the next attempt of a request, before anything is sent, reserved or recorded.
 struct LaunchDecision
@@ -227,6 +240,7 @@
   void Begin(internal::RequestState& aState);
   Instant StartDeadline(Instant aNow) const;
   bool IsStarting(Instant aNow) const;
+  std::optional<Duration> MaxReportWait(const internal::RequestState& aState, Instant aNow) const;
   void BeginHeldRequests();
   static std::string PickService(const RouteRule& aRoute, std::mt19937_64& aRandom);
   void Refuse(internal::RequestState& aState, const Refusal& aRefusal);
@@ -248,6 +262,8 @@
   std::uint32_t UrgencyOf(const internal::RequestState& aState) const;
   void ArmStallTimer(internal::RequestState& aState, Duration aTimeout);
   Duration MaxFirstEventWait(const internal::RequestState& aState, Instant aNow) const;
+  double MaxCostShare(const internal::RequestState& aState, Instant aNow) const;
+  bool IsReturning(const internal::RequestState& aState, Instant aNow) const;
   Duration FirstEventTimeout(const internal::RequestState& aState) const;
   internal::RequestState* FindAttempt(std::uint64_t aAttempt);
   void CloseAttempt(internal::RequestState& aState, bool aCancel);
@@ -316,6 +332,10 @@
   void RecordAbort(const internal::RequestState& aState);
   void RecordAnnouncement(const RegisteredTarget& aTarget, const TargetAnnouncement& aAnnouncement);
   bool IsUsable(const std::string& aInstance) const;
+  void RecordRegistrations(const TargetsChanged& aChanged);
+  void RecordColdness(const RegisteredTarget& aTarget, Duration aRemaining);
+  void LogCold(const std::string& aInstance, const char* aSource);
+  nlohmann::json DumpCold(Instant aNow) const;
   void AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer);
   void LogEvacuations(const std::set<std::string>& aBefore, const std::string& aSource);
   std::uint32_t AbortCount(std::uint64_t aFingerprint, Instant aNow) const;
@@ -334,6 +354,7 @@
   LoadTracker loadTracker;
   TargetNotices notices;
   EvacuatedDomains evacuated;
+  ColdShares coldShares;
   ConfigurationFetcher fetcher;
   EntryGroup group;
   struct KnownPeer
--- a/src/core/forward/placement/ForwardExplain.cpp
+++ b/src/core/forward/placement/ForwardExplain.cpp
@@ -24,10 +24,14 @@
 }
 
 std::string
-FormatLoss(const LosingTarget& aLoser)
+FormatLoss(const LosingTarget& aLoser, PlacementStatus aStatus)
 {
+  if (aLoser.isKeptOut) {
+    return "it is cold, and gets no part of a long or divided prompt";
+  }
   if (!aLoser.comparedWith) {
-    return "its free memory does not suffice";
+    return aStatus == PlacementStatus::TooCostly ? "the prompt costs other callers too much"
+                                                 : "its free memory does not suffice";
   }
   if (aLoser.extraCostMs <= 0) {
     return "close to " + aLoser.comparedWith->instance + ", which was chosen at random";
@@ -45,6 +49,7 @@
   explanation.configurationVersion = this->table ? this->table->version : 0;
   if (this->IsStarting(aNow)) {
     explanation.heldFor = this->StartDeadline(aNow) - aNow;
+    explanation.heldUntil = "the entry has read the configuration and the registrations";
     return explanation;
   }
   // Never among the requests of this entry; it only carries what the decisions read.
@@ -65,6 +70,11 @@
   std::mt19937_64 randomCopy = this->random;
   state.service = PickService(*state.route, randomCopy);
   explanation.service = state.service;
+  if (const auto wait = this->MaxReportWait(state, aNow)) {
+    explanation.heldFor = std::min(*wait, state.deadline - aNow);
+    explanation.heldUntil = "the first load reports of most neighbours are expected";
+    return explanation;
+  }
   PlacementRanking ranking;
   const LaunchDecision decision = this->DecideLaunch(state, randomCopy, aNow, &ranking);
   this->DescribeDecision(decision, ranking, aNow, explanation);
@@ -122,7 +132,7 @@
       break;
     }
     ExplainedTarget target = this->DescribeTarget(*loser.target, aNow);
-    target.reason = FormatLoss(loser);
+    target.reason = FormatLoss(loser, placement.status);
     if (loser.firstEventMs > 0) {
       target.firstEventMs = loser.firstEventMs;
     }
@@ -158,6 +168,12 @@
   if (pausedUntil > aNow) {
     target.facts.emplace_back("paused_ms", std::to_string(ToMillis(pausedUntil - aNow)));
   }
+  if (this->coldShares.IsCold(aTarget.instance, aNow)) {
+    const Duration cold = this->coldShares.ColdUntil(aTarget.instance) - aNow;
+    const Duration nextShare = this->coldShares.NextSendAt(aTarget.instance, aNow) - aNow;
+    target.facts.emplace_back("cold_ms", std::to_string(ToMillis(cold)));
+    target.facts.emplace_back("next_share_in_ms", std::to_string(ToMillis(nextShare)));
+  }
   return target;
 }
 
--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -52,8 +52,9 @@
 // Cost, in milliseconds, of each strict stream beyond kStrictSlotShare.
 constexpr double kCrowdingMs = 40;
 
-// Cost, in milliseconds, of each strict stream on an engine that is considered for a long prompt.
-constexpr double kStrictStreamMs = 100;
+// Cost, in milliseconds, of each strict stream on an engine that is considered for a long prompt: a
+// queue on other engines that is shorter than this costs callers less than the gaps of the stream.
+constexpr double kStrictStreamMs = 300;
 
 // The same for each unit of RelaxedWeight().
 constexpr double kRelaxedWeightMs = 30;
@@ -89,6 +90,12 @@
 // domain may have free, and outlasts the delay.
 constexpr double kRemoteShortPromptMs = 100;
 
+// Cost of a cold target, in milliseconds, for a plain call and for a prompt: that of two calls
+// across failure domains. A warm target of another domain is preferred unless it is clearly busier,
+// so that a domain that returns takes load gradually.
+constexpr double kColdPlainMs = 2 * kRemoteDomainMs;
+constexpr double kColdPromptMs = 2 * kRemoteShortPromptMs;
+
 // Cost of failed exchanges, in milliseconds of waiting per unit of the failure rate: one failed
 // exchange in two costs about a second attempt.
 constexpr double kFailureRateMs = 600;
@@ -130,30 +137,40 @@
     if (IsCandidate(exclusion, aIncludeAvoided)) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
       candidate.prefillMs = candidate.load.PrefillMs(aNow);
+      candidate.isCold = aRequest.coldShares && aRequest.coldShares->IsCold(instance, aNow);
       candidates.push_back(candidate);
     }
   }
   return candidates;
 }
 
-// Returns a placement without a target. When all usable targets want no work for a while, its
-// status is Paused, and its wait ends with the first pause.
+// Returns a placement without a target. When all usable targets want no work for a while, or may
+// not get it as they are cold, its wait ends when the first of them may be used.
 Placement
 MakeUnplaced(const PlacementRequest& aRequest,
              const std::map<std::string, RegisteredTarget>& aTargets,
              Instant aNow)
 {
   Instant firstEnd = Instant::max();
+  bool endsPause = false;
   for (const auto& [instance, target] : aTargets) {
-    if (aRequest.notices && target.service == aRequest.service->name && !target.draining &&
-        !(aRequest.evacuated && aRequest.evacuated->Contains(target.domain)) &&
-        !aRequest.notices->IsLeaving(target)) {
-      firstEnd = std::min(firstEnd, aRequest.notices->PausedUntil(target));
+    if (target.service != aRequest.service->name || target.draining ||
+        (aRequest.evacuated && aRequest.evacuated->Contains(target.domain)) ||
+        (aRequest.notices && aRequest.notices->IsLeaving(target))) {
+      continue;
+    }
+    const Instant pausedUntil =
+      aRequest.notices ? aRequest.notices->PausedUntil(target) : Instant();
+    const Instant shareAt =
+      aRequest.coldShares ? aRequest.coldShares->NextSendAt(instance, aNow) : Instant();
+    if (std::max(pausedUntil, shareAt) < firstEnd) {
+      firstEnd = std::max(pausedUntil, shareAt);
+      endsPause = pausedUntil >= shareAt;
     }
   }
   Placement placement;
   if (firstEnd != Instant::max() && firstEnd > aNow) {
-    placement.status = PlacementStatus::Paused;
+    placement.status = endsPause ? PlacementStatus::Paused : PlacementStatus::ColdSharesSpent;
     placement.waitMs = ToMs(firstEnd - aNow);
   }
   return placement;
@@ -163,10 +180,12 @@
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
            double aRemoteMs,
+           double aColdMs,
            const LoadTracker& aLoadTracker)
 {
   PlacementCost cost;
   cost.distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
+  cost.coldness = aCandidate.isCold ? aColdMs : 0;
   cost.failures = aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
   return cost;
 }
@@ -233,7 +252,8 @@
   const CostFunction costOf = [&](const Candidate& aCandidate) {
     const double load =
       static_cast<double>(aCandidate.load.running) / std::max(1U, aCandidate.target->slots);
-    PlacementCost cost = CommonCost(aRequest, aCandidate, kRemoteDomainMs, aLoadTracker);
+    PlacementCost cost =
+      CommonCost(aRequest, aCandidate, kRemoteDomainMs, kColdPlainMs, aLoadTracker);
     cost.wait = load * 2 * kRemoteDomainMs;
     cost.fullTarget = load >= 1 ? 2 * kRemoteDomainMs : 0;
     return cost;
@@ -256,13 +276,39 @@
   return placement;
 }
 
+// The next three functions return the predicted times on one engine. All costs and predictions get
+// these times from them, so what makes one engine slower than another belongs here; the remaining
+// prefill time of its load is set by CollectCandidates.
+
+// Returns the time of a pass of an engine with its present load.
+double
+PassMs(const EngineTraits& aTraits, const Candidate& aCandidate)
+{
+  return EstimatePassMs(
+    aTraits, aCandidate.load.running, static_cast<double>(aCandidate.load.kvTokens));
+}
+
+// Returns the time in which an engine prefills one of aParts equal parts of the prompt.
+double
+PartMs(const PlacementRequest& aRequest, const Candidate& /*aCandidate*/, std::size_t aParts)
+{
+  return EstimatePrefillMs(*aRequest.service->engine, aRequest.promptTokens) /
+         static_cast<double>(aParts);
+}
+
+// Returns the time of the pass that generates the first event.
+double
+FirstPassMs(const PlacementRequest& aRequest, const Candidate& /*aCandidate*/)
+{
+  return EstimatePassMs(*aRequest.service->engine, 1, aRequest.promptTokens);
+}
+
 // Returns the time until an engine starts a new prefill, including the wait for a slot.
 double
 WaitMs(const EngineTraits& aTraits, const Candidate& aCandidate)
 {
   const double decodingRequests = aCandidate.load.running;
-  const double pass =
-    EstimatePassMs(aTraits, decodingRequests, static_cast<double>(aCandidate.load.kvTokens));
+  const double pass = PassMs(aTraits, aCandidate);
   double wait = aCandidate.prefillMs + pass / 2;
   if (decodingRequests >= aTraits.slots) {
     // Each request ahead in the queue needs a running one to end.
@@ -328,42 +374,45 @@
                  const Candidate& aCandidate,
                  double aPartMs)
 {
-  const double gap = EstimatePassMs(aTraits,
-                                    aCandidate.load.running,
-                                    static_cast<double>(aCandidate.load.kvTokens)) +
-                     aCandidate.prefillMs + aPartMs;
+  const double gap = PassMs(aTraits, aCandidate) + aCandidate.prefillMs + aPartMs;
   return aCandidate.load.strictStreams * MissProbability(gap, ToMs(aRequest.strictGap)) +
          RelaxedWeight(aCandidate) * MissProbability(gap, ToMs(aRequest.relaxedGap));
 }
 
-// Returns the predicted time to the first event on engines that start after aWaitMs.
-double
-FirstEventAfter(const PlacementRequest& aRequest, double aWaitMs, std::size_t aParts)
-{
-  const EngineTraits& traits = *aRequest.service->engine;
-  return aWaitMs + EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts) +
-         EstimatePassMs(traits, 1, aRequest.promptTokens);
-}
-
+// Returns the predicted time to the first event when the first aParts engines prefill a part each
+// and the first one decodes.
 double
 FirstEventMs(const PlacementRequest& aRequest,
              const std::vector<Candidate>& aSorted,
              std::size_t aParts)
 {
-  double wait = 0;
+  double prefilledMs = 0;
   for (std::size_t i = 0; i < aParts; ++i) {
-    wait = std::max(wait, aSorted[i].waitMs);
+    prefilledMs = std::max(prefilledMs, aSorted[i].waitMs + PartMs(aRequest, aSorted[i], aParts));
   }
-  return FirstEventAfter(aRequest, wait, aParts);
+  return prefilledMs + FirstPassMs(aRequest, aSorted.front());
+}
+
+// Returns the predicted time to the first event on one engine alone.
+double
+FirstEventMs(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  return aCandidate.waitMs + PartMs(aRequest, aCandidate, 1) + FirstPassMs(aRequest, aCandidate);
 }
 
+// The number of engines that prefill a long prompt, and what that costs all callers.
+struct PartChoice
+{
+  std::size_t parts = 1;
+  double cost = 0; // In short requests.
+};
+
 // Returns the number of engines that prefill a long prompt with the least total cost of its own
 // delay and of the longer gaps of other streams.
-std::size_t
+PartChoice
 ChoosePartCount(const PlacementRequest& aRequest, const std::vector<Candidate>& aSorted)
 {
   const EngineTraits& traits = *aRequest.service->engine;
-  const double prefillMs = EstimatePrefillMs(traits, aRequest.promptTokens);
   const double weight = aRequest.promptTokens / kTokensPerWeight;
   const std::size_t maxParts = std::min(aSorted.size(), kMaxHelpers + 1);
   std::size_t best = 1;
@@ -376,15 +425,14 @@
                               MissProbability(firstEventMs, kAbandonObjectives * objectiveMs)) +
                   kHelperWeight * static_cast<double>(parts);
     for (std::size_t i = 0; i < parts; ++i) {
-      cost +=
-        InterferenceCost(aRequest, traits, aSorted[i], prefillMs / static_cast<double>(parts));
+      cost += InterferenceCost(aRequest, traits, aSorted[i], PartMs(aRequest, aSorted[i], parts));
     }
     if (cost < bestCost) {
       bestCost = cost;
       best = parts;
     }
   }
-  return best;
+  return { best, bestCost };
 }
 
 bool
@@ -397,7 +445,7 @@
 void
 AddShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate, PlacementCost& aCost)
 {
-  const double firstEventMs = FirstEventAfter(aRequest, aCandidate.waitMs, 1);
+  const double firstEventMs = FirstEventMs(aRequest, aCandidate);
   const double maxStrict = kStrictSlotShare * aRequest.service->engine->slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
   const double packed = std::min<double>(aCandidate.load.strictStreams, maxStrict);
@@ -413,9 +461,6 @@
               const std::vector<Candidate>& aChosen,
               double aFirstEventMs)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
-  const double partMs =
-    EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aChosen.size());
   Placement placement;
   placement.target = *aChosen.front().target;
   placement.firstEventMs = aFirstEventMs;
@@ -423,6 +468,7 @@
   for (const Candidate& candidate : aChosen) {
     const bool decodes = &candidate == &aChosen.front();
     const RegisteredTarget& target = *candidate.target;
+    const double partMs = PartMs(aRequest, candidate, aChosen.size());
     placement.placedWork.push_back(
       { target.instance, partMs, 0, decodes, decodes && IsStrict(aRequest) });
     if (!decodes) {
@@ -451,8 +497,8 @@
   return equalChoices;
 }
 
-// Describes the choice of the first aChosenCount candidates of aOrdered; 0 when the memory of no
-// combination sufficed. By aCriteria the engine that decodes was chosen, and by the last of them
+// Describes the choice of the first aChosenCount candidates of aOrdered; 0 when the prompt was not
+// placed. By aCriteria the engine that decodes was chosen, and by the last of them
 // the helpers. The choice was random among the first aSpreadCount candidates.
 void
 DescribeChoice(const PlacementRequest& aRequest,
@@ -471,7 +517,7 @@
       loser = CompareWithChosen(
         aOrdered[i], aOrdered[aChosenCount - 1], aChosenCount == 1 ? aCriteria : helperCriteria);
     }
-    loser.firstEventMs = FirstEventAfter(aRequest, aOrdered[i].waitMs, 1);
+    loser.firstEventMs = FirstEventMs(aRequest, aOrdered[i]);
     aRanking.losers.push_back(loser);
   }
   const auto equalsFirst = [&](const Candidate& aCandidate) {
@@ -484,6 +530,21 @@
     aChosenCount == 0 ? 0 : std::max(aSpreadCount, static_cast<std::size_t>(equals));
 }
 
+// A cold target gets no part of a prompt whose other parts wait for it, and so neither calls of
+// another engine nor reservations. It decodes a long prompt only if no target is warm, in which
+// case the first one is kept, as for a short prompt. Returns the cold targets that were removed.
+std::vector<Candidate>
+KeepWarmParts(bool aKeepsFirst, std::vector<Candidate>& aSorted)
+{
+  const auto firstCold =
+    std::stable_partition(aSorted.begin() + (aKeepsFirst ? 1 : 0),
+                          aSorted.end(),
+                          [](const Candidate& aCandidate) { return !aCandidate.isCold; });
+  std::vector<Candidate> removed(firstCold, aSorted.end());
+  aSorted.erase(firstCold, aSorted.end());
+  return removed;
+}
+
 Placement
 PlacePrompt(const PlacementRequest& aRequest,
             std::vector<Candidate> aCandidates,
@@ -498,7 +559,7 @@
   const double remoteMs =
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
   const CostFunction costOf = [&](const Candidate& aCandidate) {
-    PlacementCost cost = CommonCost(aRequest, aCandidate, remoteMs, aLoadTracker);
+    PlacementCost cost = CommonCost(aRequest, aCandidate, remoteMs, kColdPromptMs, aLoadTracker);
     cost.wait = aCandidate.waitMs;
     if (isShort) {
       AddShortCost(aRequest, aCandidate, cost);
@@ -516,6 +577,10 @@
     candidate.cost = costOf(candidate).Total();
   }
   SortByCost(aCandidates, aRandom);
+  const bool isOneWarm =
+    std::any_of(aCandidates.begin(), aCandidates.end(), [](const Candidate& aCandidate) {
+      return !aCandidate.isCold;
+    });
   std::size_t spreadCount = 1;
   if (isShort) {
     const bool isLocal = aCandidates.front().target->domain == aRequest.domain;
@@ -523,23 +588,48 @@
       SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
                    aCandidates,
                    aRandom);
-  } else {
+  }
+  const std::size_t allCount = aCandidates.size();
+  // The first candidate was chosen by its cost alone, among the cold ones too.
+  const bool isChosenAmongAll = isShort || !isOneWarm;
+  const std::vector<Candidate> all =
+    aRanking && isChosenAmongAll ? aCandidates : std::vector<Candidate>{};
+  const std::vector<Candidate> cold = KeepWarmParts(isChosenAmongAll, aCandidates);
+  if (!isShort) {
     MoveDecoderFirst(aCandidates, traits);
   }
   const auto describe = [&](std::size_t aChosenCount) {
-    if (aRanking) {
-      const std::vector<CostFunction> criteria =
-        isShort ? std::vector<CostFunction>{ costOf }
-                : std::vector<CostFunction>{ decodeCostOf, costOf };
-      DescribeChoice(aRequest, aCandidates, aChosenCount, criteria, spreadCount, *aRanking);
+    if (!aRanking) {
+      return;
+    }
+    const std::vector<CostFunction> criteria =
+      isChosenAmongAll ? std::vector<CostFunction>{ costOf }
+                       : std::vector<CostFunction>{ decodeCostOf, costOf };
+    const bool isOneChosenAmongAll = isChosenAmongAll && aChosenCount == 1;
+    DescribeChoice(aRequest,
+                   isOneChosenAmongAll ? all : aCandidates,
+                   aChosenCount,
+                   criteria,
+                   spreadCount,
+                   *aRanking);
+    for (std::size_t i = 0; i < cold.size() && !isOneChosenAmongAll; ++i) {
+      aRanking->losers.push_back({ .target = cold[i].target,
+                                   .firstEventMs = FirstEventMs(aRequest, cold[i]),
+                                   .isKeptOut = true });
     }
   };
   const std::uint64_t need = std::uint64_t{ aRequest.promptTokens } + aRequest.outputTokens;
   const std::size_t maxParts = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
+  const PartChoice choice = isShort ? PartChoice{} : ChoosePartCount(aRequest, aCandidates);
+  if (!isShort && choice.cost > aRequest.maxCostShare * aRequest.promptTokens / kTokensPerWeight) {
+    placement.status = PlacementStatus::TooCostly;
+    placement.waitMs = FirstEventMs(aRequest, aCandidates, choice.parts);
+    describe(0);
+    return placement;
+  }
   // With too little memory on the first engines, more of them are used.
-  for (std::size_t parts = isShort ? 1 : ChoosePartCount(aRequest, aCandidates); parts <= maxParts;
-       ++parts) {
+  for (std::size_t parts = choice.parts; parts <= maxParts; ++parts) {
     std::vector<Candidate> chosen(aCandidates.begin(),
                                   aCandidates.begin() + static_cast<std::ptrdiff_t>(parts));
     placement = MakePlacement(aRequest, chosen, FirstEventMs(aRequest, aCandidates, parts));
@@ -551,7 +641,8 @@
   }
   describe(0);
   const double plannedTokens =
-    kPlannedMemoryShare * static_cast<double>(traits.kvCapacityTokens * maxParts);
+    kPlannedMemoryShare *
+    static_cast<double>(traits.kvCapacityTokens * std::min(allCount, kMaxHelpers + 1));
   placement.status =
     static_cast<double>(need) > plannedTokens ? PlacementStatus::TooLarge : PlacementStatus::Full;
   return placement;
@@ -580,6 +671,9 @@
   if (aRequest.notices && !aRequest.notices->MayReceive(aTarget, aNow)) {
     return Exclusion::WantsNoWork;
   }
+  if (aRequest.coldShares && !aRequest.coldShares->MaySend(aTarget.instance, aNow)) {
+    return Exclusion::ColdShareSpent;
+  }
   return aLoadTracker.IsAvoided(aTarget.instance, aNow) ? Exclusion::Avoided : Exclusion::None;
 }
 
--- a/src/core/forward/placement/PlacementCost.h
+++ b/src/core/forward/placement/PlacementCost.h
@@ -12,6 +12,7 @@
 {
   double wait = 0;
   double distance = 0;
+  double coldness = 0;
   double failures = 0;
   double lateness = 0;
   double crowding = 0;
@@ -24,7 +25,7 @@
 
   double Total() const
   {
-    return this->wait + (this->distance + this->failures) +
+    return this->wait + (this->distance + this->coldness + this->failures) +
            (this->lateness + this->crowding + this->firstOfKind + this->packing +
             this->strictStreams + this->relaxedStreams + this->memory + this->fullTarget);
   }
@@ -37,9 +38,10 @@
   double PlacementCost::*ms;
 };
 
-inline constexpr std::array<CostPart, 11> kCostParts{ {
+inline constexpr std::array<CostPart, 12> kCostParts{ {
   { "the wait for the work there", &PlacementCost::wait },
   { "the distance to its failure domain", &PlacementCost::distance },
+  { "its being cold", &PlacementCost::coldness },
   { "recent failures", &PlacementCost::failures },
   { "a late first event", &PlacementCost::lateness },
   { "too many short streams", &PlacementCost::crowding },
--- a/src/core/forward/request/ForwardLaunch.cpp
+++ b/src/core/forward/request/ForwardLaunch.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace sycamorepost {
 
 using internal::Attempt;
 using internal::kLaunchReasons;
+using internal::kLongPrefill;
 using internal::kMinRemaining;
 using internal::kMinStallTimeout;
 using internal::LaunchDecision;
@@ -37,10 +39,8 @@
 // A plain call may take 1/kPlainCallDivisor of the remaining time before another target is tried.
 constexpr int kPlainCallDivisor = 3;
 
-// A prompt whose first event is predicted to take longer than kLongPrefill is not prefilled again
-// because its attempt stalls, unless the gap exceeds kLongPrefillStallObjectives
-// objectives: a connection to a lost VM fails by itself.
-constexpr Duration kLongPrefill = std::chrono::milliseconds(150);
+// A long prompt is not prefilled again because its attempt stalls, unless the gap exceeds
+// this many objectives: a connection to a lost VM fails by itself.
 constexpr int kLongPrefillStallObjectives = 2;
 
 // The fraction of its objective that a caller may be predicted to wait; the rest covers the
@@ -52,6 +52,12 @@
 // two seconds.
 constexpr int kRetryWaitObjectives = 8;
 
+// The cost of a long prompt to all callers up to which it is accepted, as a share of its weight.
+// Each gap is predicted as if nothing else arrived; about as much follows before the prompt has
+// ended.
+constexpr double kMaxCostShare = 0.5;
+constexpr double kMaxCostShareOfReturning = 1;
+
 // How long a refused request is remembered: callers retry within a third of their timeout.
 constexpr Duration kRefusalTtl = std::chrono::seconds(5);
 
@@ -96,11 +102,11 @@
     ChoosePlacement(request, this->targets, this->loadTracker, aRandom, aNow, aRanking);
   const PlacementStatus status = decision.placement.status;
   if (status != PlacementStatus::Placed) {
-    static constexpr std::array<LaunchVerdict, 5> kVerdicts{ LaunchVerdict::Start,
-                                                             LaunchVerdict::NoTarget,
-                                                             LaunchVerdict::Full,
-                                                             LaunchVerdict::TooLarge,
-                                                             LaunchVerdict::Paused };
+    static constexpr std::array<LaunchVerdict, 7> kVerdicts{
+      LaunchVerdict::Start,    LaunchVerdict::NoTarget, LaunchVerdict::Full,
+      LaunchVerdict::TooLarge, LaunchVerdict::Paused,   LaunchVerdict::ColdSharesSpent,
+      LaunchVerdict::TooCostly
+    };
     decision.verdict = kVerdicts.at(static_cast<std::size_t>(status));
     decision.retryAfterHint = FromMs(decision.placement.waitMs);
     decision.isRetryAfterRequested = status == PlacementStatus::Paused;
@@ -123,7 +129,10 @@
   aState.isRetryAfterRequested = aDecision.isRetryAfterRequested;
   if (aDecision.verdict == LaunchVerdict::Quarantined) {
     this->Count("forward_quarantine", "refused");
-  } else if (aDecision.verdict == LaunchVerdict::TooLate) {
+  } else if (aDecision.verdict == LaunchVerdict::ColdSharesSpent) {
+    this->Count("forward_cold_shares", "spent");
+  } else if (aDecision.verdict == LaunchVerdict::TooCostly ||
+             aDecision.verdict == LaunchVerdict::TooLate) {
     this->recentRefusals[aState.request.fingerprint] = this->now + kRefusalTtl;
   }
   this->FailRequest(aState, kLaunchReasons.at(static_cast<std::size_t>(aDecision.verdict)));
@@ -146,7 +155,9 @@
   request.triedInstances = aState.triedInstances;
   request.notices = &this->notices;
   request.evacuated = &this->evacuated;
+  request.coldShares = &this->coldShares;
   request.domain = this->config.domain;
+  request.maxCostShare = this->MaxCostShare(aState, aNow);
   request.hearsNeighbours = !this->peers.empty() || this->group.Neighbours().empty();
   const Duration reportDelay = this->BroadcastDelay() + kReportTransit;
   request.unreportedPrompts = this->promptRate.PerSecond(aNow) *
@@ -176,14 +187,33 @@
 ForwardReducer::Impl::MaxFirstEventWait(const RequestState& aState, Instant aNow) const
 {
   const Duration objective = aState.route->objective;
-  const bool started = aState.reachedAttempts > 0 || aState.headSent;
-  if (aState.route->kind != RouteKind::Stream || started) {
+  if (aState.route->kind != RouteKind::Stream || aState.HasStarted()) {
     return Duration::max();
   }
+  return this->IsReturning(aState, aNow)
+           ? objective * kRetryWaitObjectives
+           : std::chrono::duration_cast<Duration>(objective * kMaxWaitShare);
+}
+
+// Returns the greatest cost of a long prompt to all callers, as a share of its weight. While more
+// long prompts arrive than the engines can prefill, those beyond it are refused, so that short
+// streams keep their gaps. What has run once is finished, and a caller that returns is less likely
+// to be refused again.
+double
+ForwardReducer::Impl::MaxCostShare(const RequestState& aState, Instant aNow) const
+{
+  if (aState.HasStarted()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return this->IsReturning(aState, aNow) ? kMaxCostShareOfReturning : kMaxCostShare;
+}
+
+// Returns whether this entry has refused the request a short time ago.
+bool
+ForwardReducer::Impl::IsReturning(const RequestState& aState, Instant aNow) const
+{
   const auto refusal = this->recentRefusals.find(aState.request.fingerprint);
-  const bool isRetry = refusal != this->recentRefusals.end() && refusal->second > aNow;
-  return isRetry ? objective * kRetryWaitObjectives
-                 : std::chrono::duration_cast<Duration>(objective * kMaxWaitShare);
+  return refusal != this->recentRefusals.end() && refusal->second > aNow;
 }
 
 void
@@ -243,6 +273,9 @@
   if (isLong) {
     this->ReportDomainLoad();
   }
+  if (this->coldShares.RecordSent(start.instance, this->now)) {
+    this->Count("forward_cold_shares", "used");
+  }
   attempt.placement = std::move(aPlacement);
   this->attemptOwner[attempt.id] = aState.request.handle;
   aState.attempt = std::move(attempt);
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -25,6 +25,14 @@
 // File descriptors reserved for files, peer connections and the store.
 constexpr std::uint32_t kReservedDescriptors = 300;
 
+// What attempts may buffer of responses, as a part of what callers may hold.
+constexpr std::uint64_t kAttemptShare = 4;
+
+// The largest message of a peer, as a part of what callers may hold. The largest one that peers
+// send is a configuration.
+constexpr std::uint64_t kFrameShare = 8;
+constexpr std::size_t kMinFrameBytes = 4 * 1024 * 1024;
+
 HttpLimits
 MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
 {
@@ -52,16 +60,20 @@
 ForwardDaemon::ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath)
   : settings(std::move(aSettings))
   , settingsPath(std::move(aSettingsPath))
+  , ledger(CallerMemory(this->settings.memory))
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
-  , reducer(ForwardConfig{ .name = this->settings.name,
-                           .address = this->settings.peerAddress,
-                           .domain = this->settings.domain,
-                           .seed = this->incarnation,
-                           .retryRatio = this->settings.retryRatio,
-                           .retrySlack = this->settings.retrySlack,
-                           .reservationLease = this->settings.reservationLease,
-                           .changeBound = this->settings.changeBound })
+  , reducer(
+      ForwardConfig{ .name = this->settings.name,
+                     .address = this->settings.peerAddress,
+                     .domain = this->settings.domain,
+                     .seed = this->incarnation,
+                     .retryRatio = this->settings.retryRatio,
+                     .retrySlack = this->settings.retrySlack,
+                     .reservationLease = this->settings.reservationLease,
+                     .changeBound = this->settings.changeBound,
+                     .coldBound = { this->settings.coldOverage, this->settings.coldSlack },
+                     .maxBufferedBytes = CallerMemory(this->settings.memory) / kAttemptShare })
   , bus(
       this->context,
       this->settings.peerAddress,
@@ -79,9 +91,10 @@
              { [this](const std::shared_ptr<const RouteTable>& aTable, const std::string& aText) {
                 this->OnRoutes(aTable, aText);
               },
-               [this](const std::map<std::string, RegisteredTarget>& aTargets) {
+               [this](const std::map<std::string, RegisteredTarget>& aTargets, Instant aReadAt) {
                  LOG(INFO) << "[forward] " << aTargets.size() << " targets are registered";
-                 this->Step(TargetsChanged{ aTargets });
+                 const std::int64_t unixMs = UnixMs() - ToMillis(Now() - aReadAt);
+                 this->Step(TargetsChanged{ aTargets, aReadAt, unixMs });
                },
                [this](const std::map<std::string, RegisteredEntry>& aEntries) {
                  this->OnEntries(aEntries);
@@ -94,11 +107,13 @@
                },
                [this] { return this->reducer.DomainRank(Now()); } },
              this->incarnation)
-  , server(this->context,
-           MakeLimits(this->settings, CallerLimits{}),
-           [this](HttpRequest aRequest, HttpExchange& aExchange) {
-             return this->Serve(std::move(aRequest), aExchange);
-           })
+  , server(
+      this->context,
+      MakeLimits(this->settings, CallerLimits{}),
+      [this](HttpRequest aRequest, HttpExchange& aExchange) {
+        return this->Serve(std::move(aRequest), aExchange);
+      },
+      &this->ledger)
   , pages{ [this] { return this->reducer.IsReady() && !this->draining; },
            [this] { return this->FormatMetrics(); },
            [this] { return this->MakeDump(); },
@@ -107,13 +122,15 @@
              return ServeWhere(aRequest, this->table.get(), this->reducer, Now());
            } }
   , admin(this->context,
-          HttpLimits{},
+          kAdminLimits,
           [this](HttpRequest aRequest, HttpExchange& aExchange) {
             return ServeAdminPage(this->pages, std::move(aRequest), aExchange);
           })
   , signals(this->context, SIGTERM, SIGINT, SIGHUP)
   , wakeTimer(this->context)
 {
+  this->server.SetRefusalHandler(
+    [this](HttpRefusal aRefusal) { this->metrics.Count("caller_refusals", ToString(aRefusal)); });
 }
 
 int
@@ -132,6 +149,8 @@
       return 1;
     }
   }
+  this->bus.SetMaxFrameBytes(std::clamp<std::size_t>(
+    CallerMemory(this->settings.memory) / kFrameShare, kMinFrameBytes, PeerBus::kMaxFrameBytes));
   if (!this->bus.Listen(this->settings.peerAddress, reason)) {
     LOG(ERROR) << "[forward] cannot listen on " << this->settings.peerAddress << ": " << reason;
     return 1;
@@ -430,6 +449,8 @@
                     static_cast<double>(this->reducer.Evacuations().domains.size()));
   this->metrics.Set("caller_connections", static_cast<double>(this->server.Connections()));
   this->metrics.Set("caller_sessions", static_cast<double>(this->sessions.size()));
+  this->metrics.Set("caller_memory_bytes", static_cast<double>(this->ledger.Used()));
+  this->metrics.Set("caller_memory_capacity_bytes", static_cast<double>(this->ledger.Capacity()));
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
   this->metrics.Set("peer_messages_dropped", static_cast<double>(this->bus.Dropped()));
   this->metrics.Set("peer_messages_malformed", static_cast<double>(this->bus.Malformed()));
--- a/src/runtime/WherePage.cpp
+++ b/src/runtime/WherePage.cpp
@@ -124,7 +124,10 @@
   json body{ { "configuration", aExplanation.configurationVersion } };
   if (aExplanation.heldFor) {
     body["held_ms"] = ToMillis(*aExplanation.heldFor);
-    return body;
+    body["held_until"] = aExplanation.heldUntil;
+    if (aExplanation.route.empty()) {
+      return body;
+    }
   }
   body["route"] = aExplanation.route;
   body["account"] = aExplanation.account;
@@ -133,6 +136,9 @@
   for (const WeightedService& share : aExplanation.services) {
     body["services"].push_back({ { "service", share.service }, { "weight", share.weight } });
   }
+  if (aExplanation.heldFor) {
+    return body;
+  }
   if (aExplanation.refusal) {
     body["refusal"] = ToJson(*aExplanation.refusal);
   }
@@ -310,8 +316,11 @@
 {
   std::ostringstream text;
   if (aExplanation.contains("held_ms")) {
-    text << "held for up to " << aExplanation.at("held_ms")
-         << " ms, until the entry has read the configuration and the registrations\n";
+    if (aExplanation.contains("route")) {
+      PrintRoute(aExplanation, text);
+    }
+    text << "held for up to " << aExplanation.at("held_ms") << " ms, until "
+         << aExplanation.at("held_until").get<std::string>() << "\n";
     return text.str();
   }
   PrintRoute(aExplanation, text);
