--- a/src/core/forward/placement/Placement.cpp
+++ b/src/core/forward/placement/Placement.cpp
@@ -1,15 +1,20 @@
 #include "sycamorepost/forward/placement/Placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 
+#include "PlacementCost.h"
 #include "PlacementMemory.h"
 #include "sycamorepost/forward/load/EngineEstimate.h"
 
 namespace sycamorepost {
 
 using internal::Candidate;
+using internal::CostPart;
+using internal::kCostParts;
 using internal::kPlannedMemoryShare;
+using internal::PlacementCost;
 using internal::PlanMemory;
 
 namespace {
@@ -101,6 +106,30 @@
 // exchange in two costs about a second attempt.
 constexpr double kFailureRateMs = 600;
 
+bool
+IsCandidate(Exclusion aExclusion, bool aIncludeAvoided)
+{
+  return aExclusion == Exclusion::None || (aIncludeAvoided && aExclusion == Exclusion::Avoided);
+}
+
+// Returns the targets of the service that are no candidates.
+std::vector<std::pair<const RegisteredTarget*, Exclusion>>
+ListExcluded(const PlacementRequest& aRequest,
+             const std::map<std::string, RegisteredTarget>& aTargets,
+             const LoadTracker& aLoadTracker,
+             bool aIncludeAvoided,
+             Instant aNow)
+{
+  std::vector<std::pair<const RegisteredTarget*, Exclusion>> excluded;
+  for (const auto& [instance, target] : aTargets) {
+    const Exclusion exclusion = FindExclusion(aRequest, target, aLoadTracker, aNow);
+    if (exclusion != Exclusion::OtherService && !IsCandidate(exclusion, aIncludeAvoided)) {
+      excluded.emplace_back(&target, exclusion);
+    }
+  }
+  return excluded;
+}
+
 std::vector<Candidate>
 CollectCandidates(const PlacementRequest& aRequest,
                   const std::map<std::string, RegisteredTarget>& aTargets,
@@ -111,9 +140,7 @@
   std::vector<Candidate> candidates;
   for (const auto& [instance, target] : aTargets) {
     const Exclusion exclusion = FindExclusion(aRequest, target, aLoadTracker, aNow);
-    const bool usable =
-      exclusion == Exclusion::None || (aIncludeAvoided && exclusion == Exclusion::Avoided);
-    if (usable) {
+    if (IsCandidate(exclusion, aIncludeAvoided)) {
       Candidate candidate{ .target = &target, .load = aLoadTracker.LoadOf(instance, aNow) };
       candidate.paceFactor = aRequest.pace ? aRequest.pace->FactorOf(instance) : 1;
       candidate.prefillMs = candidate.load.PrefillMs(aNow) * candidate.paceFactor;
@@ -156,17 +183,48 @@
   return placement;
 }
 
-double
+PlacementCost
 CommonCost(const PlacementRequest& aRequest,
            const Candidate& aCandidate,
            double aRemoteMs,
            double aColdMs,
            const LoadTracker& aLoadTracker)
 {
-  const double distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
-  const double coldness = aCandidate.isCold ? aColdMs : 0;
-  return distance + coldness +
-         aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
+  PlacementCost cost;
+  cost.distance = aCandidate.target->domain == aRequest.domain ? 0 : aRemoteMs;
+  cost.coldness = aCandidate.isCold ? aColdMs : 0;
+  cost.failures = aLoadTracker.FailureRate(aCandidate.target->instance) * kFailureRateMs;
+  return cost;
+}
+
+// What candidates are compared by.
+using CostFunction = std::function<PlacementCost(const Candidate&)>;
+
+// Explains why a candidate lost against a chosen one. The first criterion that differs decides;
+// without a difference the choice between the two was random.
+LosingTarget
+CompareWithChosen(const Candidate& aLoser,
+                  const Candidate& aChosen,
+                  const std::vector<CostFunction>& aCriteria)
+{
+  LosingTarget loser{ .target = aLoser.target, .comparedWith = aChosen.target };
+  for (const CostFunction& costOf : aCriteria) {
+    const PlacementCost cost = costOf(aLoser);
+    const PlacementCost chosenCost = costOf(aChosen);
+    if (cost.Total() > chosenCost.Total()) {
+      const auto extra = [&](const CostPart& aPart) {
+        return cost.*aPart.ms - chosenCost.*aPart.ms;
+      };
+      const auto* main = std::max_element(
+        kCostParts.begin(), kCostParts.end(), [&](const CostPart& aLeft, const CostPart& aRight) {
+          return extra(aLeft) < extra(aRight);
+        });
+      loser.extraCostMs = cost.Total() - chosenCost.Total();
+      loser.mainCost = main->name;
+      break;
+    }
+  }
+  return loser;
 }
 
 void
@@ -179,23 +237,46 @@
     });
 }
 
+// Returns how many candidates cost no more than aCost.
+std::size_t
+CountUpTo(const std::vector<Candidate>& aCandidates, double aCost)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aCandidates.begin(), aCandidates.end(), [aCost](const Candidate& aCandidate) {
+      return aCandidate.cost <= aCost;
+    }));
+}
+
 // A plain call waits for the calls before it. Their duration is unknown, so a position in the queue
 // counts as much as a round trip. On a slow target it costs more, and so does the call itself.
 Placement
 PlacePlain(const PlacementRequest& aRequest,
            std::vector<Candidate> aCandidates,
            const LoadTracker& aLoadTracker,
-           std::mt19937_64& aRandom)
+           std::mt19937_64& aRandom,
+           PlacementRanking* aRanking)
 {
-  for (Candidate& candidate : aCandidates) {
+  const CostFunction costOf = [&](const Candidate& aCandidate) {
     const double load =
-      static_cast<double>(candidate.load.running) / std::max(1U, candidate.target->slots);
-    candidate.cost = load * 2 * kRemoteDomainMs * candidate.paceFactor +
-                     CommonCost(aRequest, candidate, kRemoteDomainMs, kColdPlainMs, aLoadTracker);
-    candidate.cost += load >= 1 ? 2 * kRemoteDomainMs * candidate.paceFactor : 0;
-    candidate.cost += (candidate.paceFactor - 1) * 2 * kRemoteDomainMs;
+      static_cast<double>(aCandidate.load.running) / std::max(1U, aCandidate.target->slots);
+    PlacementCost cost =
+      CommonCost(aRequest, aCandidate, kRemoteDomainMs, kColdPlainMs, aLoadTracker);
+    cost.wait = load * 2 * kRemoteDomainMs * aCandidate.paceFactor;
+    cost.fullTarget = load >= 1 ? 2 * kRemoteDomainMs * aCandidate.paceFactor : 0;
+    cost.slowness = (aCandidate.paceFactor - 1) * 2 * kRemoteDomainMs;
+    return cost;
+  };
+  for (Candidate& candidate : aCandidates) {
+    candidate.cost = costOf(candidate).Total();
   }
   SortByCost(aCandidates, aRandom);
+  if (aRanking) {
+    aRanking->equalChoices = CountUpTo(aCandidates, aCandidates.front().cost);
+    for (std::size_t i = 1; i < aCandidates.size(); ++i) {
+      aRanking->losers.push_back(
+        CompareWithChosen(aCandidates[i], aCandidates.front(), { costOf }));
+    }
+  }
   Placement placement;
   placement.status = PlacementStatus::Placed;
   placement.target = *aCandidates.front().target;
@@ -203,14 +284,41 @@
   return placement;
 }
 
+// The next three functions return the predicted times on one engine. All costs and predictions get
+// these times from them, so what makes one engine slower than another belongs here; the remaining
+// prefill time of its load is set by CollectCandidates.
+
+// Returns the time of a pass of an engine with its present load.
+double
+PassMs(const EngineTraits& aTraits, const Candidate& aCandidate)
+{
+  return EstimatePassMs(
+           aTraits, aCandidate.load.running, static_cast<double>(aCandidate.load.kvTokens)) *
+         aCandidate.paceFactor;
+}
+
+// Returns the time in which an engine prefills one of aParts equal parts of the prompt.
+double
+PartMs(const PlacementRequest& aRequest, const Candidate& aCandidate, std::size_t aParts)
+{
+  return EstimatePrefillMs(*aRequest.service->engine, aRequest.promptTokens) /
+         static_cast<double>(aParts) * aCandidate.paceFactor;
+}
+
+// Returns the time of the pass that generates the first event.
+double
+FirstPassMs(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  return EstimatePassMs(*aRequest.service->engine, 1, aRequest.promptTokens) *
+         aCandidate.paceFactor;
+}
+
 // Returns the time until an engine starts a new prefill, including the wait for a slot.
 double
 WaitMs(const EngineTraits& aTraits, const Candidate& aCandidate)
 {
   const double decodingRequests = aCandidate.load.running;
-  const double pass =
-    EstimatePassMs(aTraits, decodingRequests, static_cast<double>(aCandidate.load.kvTokens)) *
-    aCandidate.paceFactor;
+  const double pass = PassMs(aTraits, aCandidate);
   double wait = aCandidate.prefillMs + pass / 2;
   if (decodingRequests >= aTraits.slots) {
     // Each request ahead in the queue needs a running one to end.
@@ -243,7 +351,7 @@
 
 // Returns the cost, in milliseconds, of decoding a long request on an engine. Preferred are free KV
 // cache, no strict stream, and relaxed streams over an engine that only prefills.
-double
+PlacementCost
 DecodeCost(const EngineTraits& aTraits, const Candidate& aCandidate)
 {
   const double passMs = EstimatePassMs(
@@ -251,9 +359,13 @@
   const double memory = static_cast<double>(aCandidate.load.kvTokens) /
                         std::max<double>(1, static_cast<double>(aTraits.kvCapacityTokens));
   const bool hasOwnKind = aCandidate.load.running > aCandidate.load.strictStreams;
-  return aCandidate.waitMs + aCandidate.load.strictStreams * kStrictStreamMs +
-         memory * kFullMemoryMs - (hasOwnKind ? kFirstOfKindMs : 0) +
-         (aCandidate.paceFactor - 1) * passMs * kDecodePasses;
+  PlacementCost cost;
+  cost.wait = aCandidate.waitMs;
+  cost.strictStreams = aCandidate.load.strictStreams * kStrictStreamMs;
+  cost.memory = memory * kFullMemoryMs;
+  cost.firstOfKind = hasOwnKind ? -kFirstOfKindMs : 0;
+  cost.slowness = (aCandidate.paceFactor - 1) * passMs * kDecodePasses;
+  return cost;
 }
 
 // Moves the engine that decodes to the front; the others keep their order.
@@ -262,7 +374,7 @@
 {
   const auto best = std::min_element(
     aCandidates.begin(), aCandidates.end(), [&](const Candidate& aLeft, const Candidate& aRight) {
-      return DecodeCost(aTraits, aLeft) < DecodeCost(aTraits, aRight);
+      return DecodeCost(aTraits, aLeft).Total() < DecodeCost(aTraits, aRight).Total();
     });
   std::rotate(aCandidates.begin(), best, best + 1);
 }
@@ -275,28 +387,31 @@
                  const Candidate& aCandidate,
                  double aPartMs)
 {
-  const double gap = EstimatePassMs(aTraits,
-                                    aCandidate.load.running,
-                                    static_cast<double>(aCandidate.load.kvTokens)) *
-                       aCandidate.paceFactor +
-                     aCandidate.prefillMs + aPartMs * aCandidate.paceFactor;
+  const double gap =
+    PassMs(aTraits, aCandidate) + aCandidate.prefillMs + aPartMs * aCandidate.paceFactor;
   return aCandidate.load.strictStreams * MissProbability(gap, ToMs(aRequest.strictGap)) +
          RelaxedWeight(aCandidate) * MissProbability(gap, ToMs(aRequest.relaxedGap));
 }
 
+// Returns the predicted time to the first event when the first aParts engines prefill a part each
+// and the first one decodes.
 double
 FirstEventMs(const PlacementRequest& aRequest,
              const std::vector<Candidate>& aSorted,
              std::size_t aParts)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
-  const double partMs =
-    EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aParts);
-  double prefilled = 0;
+  double prefilledMs = 0;
   for (std::size_t i = 0; i < aParts; ++i) {
-    prefilled = std::max(prefilled, aSorted[i].waitMs + partMs * aSorted[i].paceFactor);
+    prefilledMs = std::max(prefilledMs, aSorted[i].waitMs + PartMs(aRequest, aSorted[i], aParts));
   }
-  return prefilled + EstimatePassMs(traits, 1, aRequest.promptTokens) * aSorted.front().paceFactor;
+  return prefilledMs + FirstPassMs(aRequest, aSorted.front());
+}
+
+// Returns the predicted time to the first event on one engine alone.
+double
+FirstEventMs(const PlacementRequest& aRequest, const Candidate& aCandidate)
+{
+  return aCandidate.waitMs + PartMs(aRequest, aCandidate, 1) + FirstPassMs(aRequest, aCandidate);
 }
 
 // The number of engines that prefill a long prompt, and what that costs callers, in short requests.
@@ -313,7 +428,6 @@
 ChoosePartCount(const PlacementRequest& aRequest, const std::vector<Candidate>& aSorted)
 {
   const EngineTraits& traits = *aRequest.service->engine;
-  const double prefillMs = EstimatePrefillMs(traits, aRequest.promptTokens);
   const double weight = aRequest.promptTokens / kTokensPerWeight;
   const std::size_t maxParts = std::min(aSorted.size(), kMaxHelpers + 1);
   PartChoice best;
@@ -323,7 +437,7 @@
     double costToOthers = kHelperWeight * static_cast<double>(parts);
     for (std::size_t i = 0; i < parts; ++i) {
       costToOthers +=
-        InterferenceCost(aRequest, traits, aSorted[i], prefillMs / static_cast<double>(parts));
+        InterferenceCost(aRequest, traits, aSorted[i], PartMs(aRequest, aSorted[i], parts));
     }
     const double cost =
       costToOthers + weight * (kLateFirstEventLoss * MissProbability(firstEventMs, objectiveMs) +
@@ -342,21 +456,18 @@
   return aRequest.gapObjective <= aRequest.strictGap;
 }
 
-// Returns the cost, in milliseconds, of running a short request on an engine, beside the wait
-// there.
-double
-ShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate)
+// Adds the cost of running a short request on an engine, beside the wait there.
+void
+AddShortCost(const PlacementRequest& aRequest, const Candidate& aCandidate, PlacementCost& aCost)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
-  const double firstEventMs =
-    aCandidate.waitMs + EstimatePrefillMs(traits, aRequest.promptTokens) * aCandidate.paceFactor +
-    EstimatePassMs(traits, 1, aRequest.promptTokens) * aCandidate.paceFactor;
-  const double maxStrict = kStrictSlotShare * traits.slots;
+  const double firstEventMs = FirstEventMs(aRequest, aCandidate);
+  const double maxStrict = kStrictSlotShare * aRequest.service->engine->slots;
   const double excess = std::max(0.0, aCandidate.load.strictStreams + 1 - maxStrict);
   const double packed = std::min<double>(aCandidate.load.strictStreams, maxStrict);
-  return MissProbability(firstEventMs, ToMs(aRequest.objective)) * kLateShortMs +
-         excess * kCrowdingMs + (aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0) -
-         packed * kPackingGainMs;
+  aCost.lateness = MissProbability(firstEventMs, ToMs(aRequest.objective)) * kLateShortMs;
+  aCost.crowding = excess * kCrowdingMs;
+  aCost.firstOfKind = aCandidate.load.strictStreams == 0 ? kFirstOfKindMs : 0;
+  aCost.packing = -packed * kPackingGainMs;
 }
 
 // Returns the cost, in milliseconds, of the time that a request takes longer on an engine than on a
@@ -384,9 +495,6 @@
               const std::vector<Candidate>& aChosen,
               double aFirstEventMs)
 {
-  const EngineTraits& traits = *aRequest.service->engine;
-  const double partMs =
-    EstimatePrefillMs(traits, aRequest.promptTokens) / static_cast<double>(aChosen.size());
   Placement placement;
   placement.target = *aChosen.front().target;
   placement.firstEventMs = aFirstEventMs;
@@ -395,6 +503,7 @@
   for (const Candidate& candidate : aChosen) {
     const bool decodes = &candidate == &aChosen.front();
     const RegisteredTarget& target = *candidate.target;
+    const double partMs = PartMs(aRequest, candidate, aChosen.size());
     placement.placedWork.push_back(
       { target.instance, partMs, 0, decodes, decodes && IsStrict(aRequest) });
     if (!decodes) {
@@ -406,7 +515,8 @@
 
 // Entries with the same knowledge would all choose the same engine. Chooses at random among as many
 // engines as there may be prompts that this entry does not know of, if they cost little more.
-void
+// Returns the number of engines that could have become the chosen one.
+std::size_t
 SpreadChoice(double aUnreportedPrompts, std::vector<Candidate>& aSorted, std::mt19937_64& aRandom)
 {
   const double maxCost = aSorted.front().cost + kSpreadToleranceMs;
@@ -417,27 +527,65 @@
   const auto closeCount = static_cast<double>(std::distance(aSorted.begin(), tooCostly));
   const auto last = static_cast<std::ptrdiff_t>(std::min(aUnreportedPrompts, closeCount - 1));
   const auto pick = std::uniform_int_distribution<std::ptrdiff_t>(0, last)(aRandom);
+  const std::size_t equalChoices = CountUpTo(aSorted, aSorted[static_cast<std::size_t>(last)].cost);
   std::rotate(aSorted.begin(), aSorted.begin() + pick, aSorted.begin() + pick + 1);
+  return equalChoices;
 }
 
-// A cold target gets no part of a prompt whose other parts wait for it, and so neither calls of
-// another engine nor reservations. It decodes a long prompt only if no target is warm.
+// Describes the choice of the first aChosenCount candidates of aOrdered; 0 when the prompt was not
+// placed. By aCriteria the engine that decodes was chosen, and by the last of them
+// the helpers. The choice was random among the first aSpreadCount candidates.
 void
-KeepWarmParts(bool aIsShort, std::vector<Candidate>& aSorted)
-{
-  const bool isOneWarm = std::any_of(
-    aSorted.begin(), aSorted.end(), [](const Candidate& aCandidate) { return !aCandidate.isCold; });
-  const bool keepsFirst = aIsShort || !isOneWarm;
-  const auto isCold = [](const Candidate& aCandidate) { return aCandidate.isCold; };
-  aSorted.erase(std::remove_if(aSorted.begin() + (keepsFirst ? 1 : 0), aSorted.end(), isCold),
-                aSorted.end());
+DescribeChoice(const PlacementRequest& aRequest,
+               const std::vector<Candidate>& aOrdered,
+               std::size_t aChosenCount,
+               const std::vector<CostFunction>& aCriteria,
+               std::size_t aSpreadCount,
+               PlacementRanking& aRanking)
+{
+  const std::vector<CostFunction> helperCriteria{ aCriteria.back() };
+  for (std::size_t i = aChosenCount; i < aOrdered.size(); ++i) {
+    LosingTarget loser{ .target = aOrdered[i].target };
+    if (aChosenCount == 1 && i < aSpreadCount) {
+      loser.comparedWith = aOrdered.front().target;
+    } else if (aChosenCount > 0) {
+      loser = CompareWithChosen(
+        aOrdered[i], aOrdered[aChosenCount - 1], aChosenCount == 1 ? aCriteria : helperCriteria);
+    }
+    loser.firstEventMs = FirstEventMs(aRequest, aOrdered[i]);
+    aRanking.losers.push_back(loser);
+  }
+  const auto equalsFirst = [&](const Candidate& aCandidate) {
+    return std::all_of(aCriteria.begin(), aCriteria.end(), [&](const CostFunction& aCostOf) {
+      return aCostOf(aCandidate).Total() == aCostOf(aOrdered.front()).Total();
+    });
+  };
+  const auto equals = std::count_if(aOrdered.begin(), aOrdered.end(), equalsFirst);
+  aRanking.equalChoices =
+    aChosenCount == 0 ? 0 : std::max(aSpreadCount, static_cast<std::size_t>(equals));
+}
+
+// A cold target gets no part of a prompt whose other parts wait for it, and so neither calls of
+// another engine nor reservations. It decodes a long prompt only if no target is warm, in which
+// case the first one is kept, as for a short prompt. Returns the cold targets that were removed.
+std::vector<Candidate>
+KeepWarmParts(bool aKeepsFirst, std::vector<Candidate>& aSorted)
+{
+  const auto firstCold =
+    std::stable_partition(aSorted.begin() + (aKeepsFirst ? 1 : 0),
+                          aSorted.end(),
+                          [](const Candidate& aCandidate) { return !aCandidate.isCold; });
+  std::vector<Candidate> removed(firstCold, aSorted.end());
+  aSorted.erase(firstCold, aSorted.end());
+  return removed;
 }
 
 Placement
 PlacePrompt(const PlacementRequest& aRequest,
             std::vector<Candidate> aCandidates,
             const LoadTracker& aLoadTracker,
-            std::mt19937_64& aRandom)
+            std::mt19937_64& aRandom,
+            PlacementRanking* aRanking)
 {
   const EngineTraits& traits = *aRequest.service->engine;
   const bool isShort = EstimatePrefillMs(traits, aRequest.promptTokens) <=
@@ -445,29 +593,69 @@
   // Without reports the own domain is no better known than the others.
   const double remoteMs =
     isShort && aRequest.hearsNeighbours ? kRemoteShortPromptMs : kRemoteDomainMs;
-  const double parts =
+  const double partCount =
     isShort ? 1 : static_cast<double>(std::min(aCandidates.size(), kMaxHelpers + 1));
+  const CostFunction costOf = [&](const Candidate& aCandidate) {
+    PlacementCost cost = CommonCost(aRequest, aCandidate, remoteMs, kColdPromptMs, aLoadTracker);
+    cost.wait = aCandidate.waitMs;
+    if (isShort) {
+      AddShortCost(aRequest, aCandidate, cost);
+    } else {
+      cost.strictStreams = aCandidate.load.strictStreams * kStrictStreamMs;
+      cost.relaxedStreams = RelaxedWeight(aCandidate) * kRelaxedWeightMs;
+    }
+    cost.slowness = SlowRunCost(aRequest, aCandidate, partCount);
+    return cost;
+  };
+  const CostFunction decodeCostOf = [&](const Candidate& aCandidate) {
+    return DecodeCost(traits, aCandidate);
+  };
   for (Candidate& candidate : aCandidates) {
     candidate.waitMs = WaitMs(traits, candidate);
-    candidate.cost = candidate.waitMs +
-                     CommonCost(aRequest, candidate, remoteMs, kColdPromptMs, aLoadTracker) +
-                     (isShort ? ShortCost(aRequest, candidate)
-                              : candidate.load.strictStreams * kStrictStreamMs +
-                                  RelaxedWeight(candidate) * kRelaxedWeightMs) +
-                     SlowRunCost(aRequest, candidate, parts);
+    candidate.cost = costOf(candidate).Total();
   }
   SortByCost(aCandidates, aRandom);
-  const std::size_t allCount = aCandidates.size();
+  const bool isOneWarm =
+    std::any_of(aCandidates.begin(), aCandidates.end(), [](const Candidate& aCandidate) {
+      return !aCandidate.isCold;
+    });
+  std::size_t spreadCount = 1;
   if (isShort) {
     const bool isLocal = aCandidates.front().target->domain == aRequest.domain;
-    SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
-                 aCandidates,
-                 aRandom);
-    KeepWarmParts(true, aCandidates);
-  } else {
-    KeepWarmParts(false, aCandidates);
+    spreadCount =
+      SpreadChoice(isLocal ? aRequest.unreportedPrompts : aRequest.unreportedPromptsElsewhere,
+                   aCandidates,
+                   aRandom);
+  }
+  const std::size_t allCount = aCandidates.size();
+  // The first candidate was chosen by its cost alone, among the cold ones too.
+  const bool isChosenAmongAll = isShort || !isOneWarm;
+  const std::vector<Candidate> all =
+    aRanking && isChosenAmongAll ? aCandidates : std::vector<Candidate>{};
+  const std::vector<Candidate> cold = KeepWarmParts(isChosenAmongAll, aCandidates);
+  if (!isShort) {
     MoveDecoderFirst(aCandidates, traits);
   }
+  const auto describe = [&](std::size_t aChosenCount) {
+    if (!aRanking) {
+      return;
+    }
+    const std::vector<CostFunction> criteria =
+      isChosenAmongAll ? std::vector<CostFunction>{ costOf }
+                       : std::vector<CostFunction>{ decodeCostOf, costOf };
+    const bool isOneChosenAmongAll = isChosenAmongAll && aChosenCount == 1;
+    DescribeChoice(aRequest,
+                   isOneChosenAmongAll ? all : aCandidates,
+                   aChosenCount,
+                   criteria,
+                   spreadCount,
+                   *aRanking);
+    for (std::size_t i = 0; i < cold.size() && !isOneChosenAmongAll; ++i) {
+      aRanking->losers.push_back({ .target = cold[i].target,
+                                   .firstEventMs = FirstEventMs(aRequest, cold[i]),
+                                   .isKeptOut = true });
+    }
+  };
   const std::uint64_t need = std::uint64_t{ aRequest.promptTokens } + aRequest.outputTokens;
   const std::size_t maxParts = std::min(aCandidates.size(), kMaxHelpers + 1);
   Placement placement;
@@ -476,6 +664,7 @@
       choice.cost > aRequest.maxCostShare * aRequest.promptTokens / kTokensPerWeight) {
     placement.status = PlacementStatus::TooCostly;
     placement.waitMs = FirstEventMs(aRequest, aCandidates, choice.parts);
+    describe(0);
     return placement;
   }
   // With too little memory on the first engines, more of them are used.
@@ -485,9 +674,11 @@
     placement = MakePlacement(aRequest, chosen, FirstEventMs(aRequest, aCandidates, parts));
     if (PlanMemory(traits, need, chosen, placement)) {
       placement.status = PlacementStatus::Placed;
+      describe(parts);
       return placement;
     }
   }
+  describe(0);
   const double plannedTokens =
     kPlannedMemoryShare *
     static_cast<double>(traits.kvCapacityTokens * std::min(allCount, kMaxHelpers + 1));
@@ -530,19 +721,25 @@
                 const std::map<std::string, RegisteredTarget>& aTargets,
                 const LoadTracker& aLoadTracker,
                 std::mt19937_64& aRandom,
-                Instant aNow)
+                Instant aNow,
+                PlacementRanking* aRanking)
 {
   std::vector<Candidate> candidates =
     CollectCandidates(aRequest, aTargets, aLoadTracker, false, aNow);
-  if (candidates.empty()) {
+  const bool includesAvoided = candidates.empty();
+  if (includesAvoided) {
     candidates = CollectCandidates(aRequest, aTargets, aLoadTracker, true, aNow);
   }
+  if (aRanking) {
+    aRanking->candidates = candidates.size();
+    aRanking->excluded = ListExcluded(aRequest, aTargets, aLoadTracker, includesAvoided, aNow);
+  }
   if (candidates.empty()) {
     return MakeUnplaced(aRequest, aTargets, aNow);
   }
   const bool isPrompt = aRequest.service->engine.has_value() && aRequest.promptTokens > 0;
-  return isPrompt ? PlacePrompt(aRequest, std::move(candidates), aLoadTracker, aRandom)
-                  : PlacePlain(aRequest, std::move(candidates), aLoadTracker, aRandom);
+  return isPrompt ? PlacePrompt(aRequest, std::move(candidates), aLoadTracker, aRandom, aRanking)
+                  : PlacePlain(aRequest, std::move(candidates), aLoadTracker, aRandom, aRanking);
 }
 
 } // namespace sycamorepost
--- a/src/core/forward/request/ForwardReservations.cpp
+++ b/src/core/forward/request/ForwardReservations.cpp
@@ -143,7 +143,9 @@
       return this->IsUsable(aWork.instance) && (mayHelp || aWork.instance == decoder);
     });
   if (granted && isUsable) {
-    if (this->MayRun(aState)) {
+    if (const auto refusal = this->FindQuarantine(aState, this->now)) {
+      this->FailLaunch(aState, *refusal);
+    } else {
       this->StartPlaced(aState, std::move(placement));
     }
     return;
--- a/test/TargetPaceTest.cpp
+++ b/test/TargetPaceTest.cpp
@@ -331,6 +331,7 @@
     CPPUNIT_ASSERT(together.Samples() > 0);
 
     EntryDriver split;
+    split.now += seconds(1); // Right after its start a long prompt waits.
     split.Send("/draft/", 90'000);
     CPPUNIT_ASSERT(!split.start.helpers.empty());
     split.now += milliseconds(900);
