--- a/include/sycamorepost/forward/sharing/RegistrationView.h
+++ b/include/sycamorepost/forward/sharing/RegistrationView.h
@@ -46,8 +46,8 @@
   // Applies what a read has returned; returns whether the set of usable targets changed.
   bool ApplyRead(const RegistrationRead& aRead, Instant aNow);
 
-  // Returns the report of a read that ended at an offset of the topic.
-  RegistrationReport MakeReport(std::uint64_t aNextOffset, Instant aNow);
+  // Returns the report of a read that ended at a position of the topic.
+  RegistrationReport MakeReport(TopicPosition aNext, Instant aNow);
 
   // Applies the report of a neighbour, which continues what is known here; returns whether the set
   // of usable targets changed.
--- a/include/sycamorepost/forward/sharing/StoreSharing.h
+++ b/include/sycamorepost/forward/sharing/StoreSharing.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "sycamorepost/Types.h"
+#include "sycamorepost/forward/sharing/TopicPosition.h"
 #include "sycamorepost/forward/targets/EvacuatedDomains.h"
 #include "sycamorepost/forward/targets/TargetDirectory.h"
 
@@ -75,9 +76,9 @@
 // of the topic. Targets that the reader keeps in use without a registration are not listed.
 struct RegistrationReport
 {
-  std::uint64_t fromOffset = 0; // The reader knew the records before it when the changes began.
-  std::uint64_t nextOffset = 0; // It knows the records before it now.
-  std::uint64_t digest = 0;     // DigestOf() all targets that the store lists.
+  TopicPosition from;       // The reader knew the records before it when the changes began.
+  TopicPosition next;       // It knows the records before it now.
+  std::uint64_t digest = 0; // DigestOf() all targets that the store lists.
   std::vector<RegisteredTarget> changed;
   std::vector<std::string> removed; // Instances.
   // Milliseconds for which the store has served the reader without a failure, a minute at the most;
@@ -92,9 +93,9 @@
   std::int64_t configurationAgeMs = -1;
   std::int64_t registrationsAgeMs = -1;
   std::uint64_t configurationVersion = 0;
-  std::uint64_t configurationOffset = 0; // The offset of the next read of the configuration.
+  TopicPosition configurationPosition; // Of the next read of the configuration.
   RegistrationReport registrations;
-  EvacuationView evacuations; // With a configuration, as of its offset.
+  EvacuationView evacuations; // With a configuration, as of its position.
 };
 
 // The last states of the topic at a reader. A report covers all of them, so that a neighbour
@@ -102,8 +103,8 @@
 class RegistrationHistory
 {
 public:
-  // Records the registered targets after a read that ended at an offset of the topic.
-  void Record(std::uint64_t aNextOffset, const std::map<std::string, RegisteredTarget>& aTargets);
+  // Records the registered targets after a read that ended at a position of the topic.
+  void Record(TopicPosition aNext, const std::map<std::string, RegisteredTarget>& aTargets);
 
   // Returns the changes since the oldest recorded state.
   RegistrationReport MakeReport() const;
@@ -111,21 +112,21 @@
 private:
   struct State
   {
-    std::uint64_t nextOffset = 0;
+    TopicPosition next;
     std::map<std::string, RegisteredTarget> targets;
   };
 
   std::deque<State> states; // The oldest one first.
 };
 
-// Returns a digest of the registered targets. Two entries that know the topic up to one offset may
-// still differ: one may have read a listing while it changed, or missed a report.
+// Returns a digest of the registered targets. Two entries that know the topic up to one position
+// may still differ: one may have read a listing while it changed, or missed a report.
 std::uint64_t
 DigestOf(const std::map<std::string, RegisteredTarget>& aTargets);
 
-// Returns whether a report continues what is known up to an offset, and is not older.
+// Returns whether a report continues what is known up to a position, and is not older.
 bool
-Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset);
+Continues(const RegistrationReport& aReport, TopicPosition aNext);
 
 } // namespace sycamorepost
 
--- a/include/sycamorepost/forward/targets/EvacuatedDomains.h
+++ b/include/sycamorepost/forward/targets/EvacuatedDomains.h
@@ -2,17 +2,18 @@
 #ifndef SYCAMOREPOST_FORWARD_TARGETS_EVACUATED_DOMAINS_H_
 #define SYCAMOREPOST_FORWARD_TARGETS_EVACUATED_DOMAINS_H_
 
-#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "sycamorepost/forward/sharing/TopicPosition.h"
+
 namespace sycamorepost {
 
-// Which failure domains are evacuated, as the store's topic says up to an offset.
+// Which failure domains are evacuated, as the store's topic says up to a position.
 struct EvacuationView
 {
-  std::uint64_t offset = 0; // The offset after the last record of the topic that is considered.
+  TopicPosition position; // After the last record of the topic that is considered.
   std::set<std::string> domains;
 
   bool operator==(const EvacuationView&) const = default;
@@ -30,10 +31,10 @@
 {
   bool isListing = false; // Domains that are not listed are not evacuated.
   std::vector<EvacuationChange> changes;
-  std::uint64_t offset = 0; // The offset after the last record of the read.
+  TopicPosition position; // After the last record of the read.
 };
 
-// The evacuated domains as this entry knows them. Of two views the one with the higher offset is
+// The evacuated domains as this entry knows them. Of two views the one with the later position is
 // newer, whether it comes from the store or from another entry, so that an old response or report
 // never revives an evacuation or revokes one. Nothing is forgotten while the store is unreachable.
 class EvacuatedDomains
--- a/src/core/Message.cpp
+++ b/src/core/Message.cpp
@@ -183,7 +183,8 @@
 SYCAMOREPOST_WIRE(EntryLoad, reports, isSnapshot, version)
 SYCAMOREPOST_WIRE(AbortNotice, fingerprint)
 SYCAMOREPOST_WIRE(TargetLeavingNotice, instance, startedAtMs)
-SYCAMOREPOST_WIRE(EvacuationView, offset, domains)
+SYCAMOREPOST_WIRE(TopicPosition, era, offset)
+SYCAMOREPOST_WIRE(EvacuationView, position, domains)
 SYCAMOREPOST_WIRE(EvacuationNotice, view)
 SYCAMOREPOST_WIRE(DomainLoadReport,
                   domain,
@@ -202,12 +203,12 @@
                   draining,
                   startedAtMs,
                   coldRemainingMs)
-SYCAMOREPOST_WIRE(RegistrationReport, fromOffset, nextOffset, digest, changed, removed, servedForMs)
+SYCAMOREPOST_WIRE(RegistrationReport, from, next, digest, changed, removed, servedForMs)
 SYCAMOREPOST_WIRE(StoreReport,
                   configurationAgeMs,
                   registrationsAgeMs,
                   configurationVersion,
-                  configurationOffset,
+                  configurationPosition,
                   registrations,
                   evacuations)
 
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -559,7 +559,7 @@
   nlohmann::json dump;
   dump["configuration"] = this->table ? this->table->version : 0;
   dump["evacuated"] = { { "domains", this->evacuated.View().domains },
-                        { "as_of_offset", this->evacuated.View().offset } };
+                        { "as_of", ToString(this->evacuated.View().position) } };
   dump["cold_shares"] = this->DumpCold(aNow);
   for (const auto& [instance, target] : this->targets) {
     const TargetLoad load = this->loadTracker.LoadOf(instance, aNow);
--- a/src/core/forward/sharing/RegistrationView.cpp
+++ b/src/core/forward/sharing/RegistrationView.cpp
@@ -54,9 +54,9 @@
 }
 
 RegistrationReport
-RegistrationView::MakeReport(std::uint64_t aNextOffset, Instant aNow)
+RegistrationView::MakeReport(TopicPosition aNext, Instant aNow)
 {
-  this->history.Record(aNextOffset, this->directory.Registered());
+  this->history.Record(aNext, this->directory.Registered());
   RegistrationReport report = this->history.MakeReport();
   if (const auto since = this->directory.ServedSince()) {
     report.servedForMs = std::min(ToMillis(aNow - *since), kMaxReportAgeMs);
@@ -69,7 +69,7 @@
 {
   const auto servedSince = ReportAsOf(aReport.servedForMs, aNow);
   const bool changed = this->directory.Adopt(aReport.changed, aReport.removed, servedSince, aNow);
-  this->history.Record(aReport.nextOffset, this->directory.Registered());
+  this->history.Record(aReport.next, this->directory.Registered());
   if (servedSince && this->directory.NextExpiry() && this->Agrees(aReport)) {
     this->directory.RecordNeighbourServed(*servedSince);
   }
--- a/src/core/forward/sharing/StoreSharing.cpp
+++ b/src/core/forward/sharing/StoreSharing.cpp
@@ -43,14 +43,16 @@
 }
 
 void
-RegistrationHistory::Record(std::uint64_t aNextOffset,
+RegistrationHistory::Record(TopicPosition aNext,
                             const std::map<std::string, RegisteredTarget>& aTargets)
 {
-  // A topic that was reset starts again.
-  if (!this->states.empty() && this->states.back().nextOffset > aNextOffset) {
+  // A topic that was reset starts again, and so does one of a restored store: a neighbour may know
+  // a state between two eras that this entry has not seen.
+  if (!this->states.empty() &&
+      (this->states.back().next > aNext || this->states.back().next.era != aNext.era)) {
     this->states.clear();
   }
-  this->states.push_back({ aNextOffset, aTargets });
+  this->states.push_back({ aNext, aTargets });
   if (this->states.size() > kMaxStates) {
     this->states.pop_front();
   }
@@ -65,8 +67,8 @@
   }
   const State& first = this->states.front();
   const State& last = this->states.back();
-  report.fromOffset = first.nextOffset;
-  report.nextOffset = last.nextOffset;
+  report.from = first.next;
+  report.next = last.next;
   report.digest = DigestOf(last.targets);
   // A target that changed and changed back is listed as well: a neighbour may know the state
   // between.
@@ -114,9 +116,9 @@
 }
 
 bool
-Continues(const RegistrationReport& aReport, std::uint64_t aNextOffset)
+Continues(const RegistrationReport& aReport, TopicPosition aNext)
 {
-  return aReport.fromOffset <= aNextOffset && aNextOffset <= aReport.nextOffset;
+  return aReport.from <= aNext && aNext <= aReport.next;
 }
 
 } // namespace sycamorepost
--- a/src/core/forward/targets/EvacuatedDomains.cpp
+++ b/src/core/forward/targets/EvacuatedDomains.cpp
@@ -5,9 +5,9 @@
 bool
 EvacuatedDomains::ApplyRead(const EvacuationRead& aRead)
 {
-  // The records of a read follow each other, so that a read that begins before the known offset and
-  // ends after it may be replayed as a whole.
-  EvacuationView next{ aRead.offset,
+  // The records of a read follow each other, so that a read that begins before the known position
+  // and ends after it may be replayed as a whole.
+  EvacuationView next{ aRead.position,
                        aRead.isListing ? std::set<std::string>() : this->view.domains };
   for (const EvacuationChange& change : aRead.changes) {
     if (change.isEvacuated) {
@@ -22,7 +22,7 @@
 bool
 EvacuatedDomains::Adopt(const EvacuationView& aView)
 {
-  if (aView.offset <= this->view.offset) {
+  if (aView.position <= this->view.position) {
     return false;
   }
   const bool isChanged = aView.domains != this->view.domains;
--- a/src/core/forward/targets/ForwardEvacuation.cpp
+++ b/src/core/forward/targets/ForwardEvacuation.cpp
@@ -34,12 +34,11 @@
   const EvacuationView& view = this->evacuated.View();
   const auto log = [&](const char* aDecision, const std::string& aDomain) {
     this->Count("forward_evacuations", aDecision);
-    this->effects.emplace_back(LogDecision{ aDecision,
-                                            "",
-                                            { { "domain", aDomain },
-                                              { "source", aSource },
-                                              { "as_of_offset", std::to_string(view.offset) } },
-                                            true });
+    this->effects.emplace_back(LogDecision{
+      aDecision,
+      "",
+      { { "domain", aDomain }, { "source", aSource }, { "as_of", ToString(view.position) } },
+      true });
   };
   for (const std::string& domain : view.domains) {
     if (!aBefore.contains(domain)) {
--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -100,6 +100,8 @@
   CPPUNIT_TEST(LossOfTheReaderDelaysChangesByLessThanTheBound);
   CPPUNIT_TEST(ListingThatMissedARecordIsNoticed);
   CPPUNIT_TEST(OddEntriesAmongTheTargetsAreSkipped);
+  CPPUNIT_TEST(EvacuationAfterARestoreIsInForce);
+  CPPUNIT_TEST(RecordsAtReusedOffsetsAreRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,12 +316,73 @@
     }
   }
 
+  // Guards against entries that order records of a restored store by their offsets: they ignored
+  // each new evacuation whose offset had been used before the restore.
+  void EvacuationAfterARestoreIsInForce()
+  {
+    PlatformDeployment deployment;
+    for (int i = 0; i < 3; ++i) {
+      deployment.Publish("keyed.op", "evacuate/hobart", "{}");
+      deployment.Publish("keyed.op", "evacuate/hobart", "");
+    }
+    deployment.Publish("keyed.op", "evacuate/burnie", "{}");
+    for (int entry = 1; entry <= 2; ++entry) {
+      CPPUNIT_ASSERT(WaitUntil(
+        kChangeBound, [&] { return EvacuatedDomains(deployment, entry) == json{ "burnie" }; }));
+    }
+    deployment.SetFaults(deployment.StoreAddress(), { { "restore_to", { { "keyed.op", 1 } } } });
+    deployment.Publish("keyed.op", "evacuate/hobart", "{}");
+    for (int entry = 1; entry <= 2; ++entry) {
+      CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] {
+        const json domains = EvacuatedDomains(deployment, entry);
+        return std::find(domains.begin(), domains.end(), "hobart") != domains.end();
+      }));
+    }
+  }
+
+  // Guards against entries that read on at an offset that was given out again, and never read the
+  // records before it.
+  void RecordsAtReusedOffsetsAreRead()
+  {
+    PlatformDeployment deployment;
+    deployment.entries[1].Kill();
+    const auto publish = [&deployment](const char* aName, const char* aState) {
+      const json registration{ { "Service", "quizmind" }, { "Address", "127.0.0.1:9" },
+                               { "Zone", "hobart" },      { "Slots", 16 },
+                               { "State", aState },       { "born", 1 } };
+      deployment.Publish("keyed.servers", aName, registration.dump());
+    };
+    const auto stateOf = [&deployment](const char* aName) {
+      const json dump = harness::FetchDump(deployment.EntryIp(1) + ":7001");
+      return dump.at("targets").contains(aName) ? dump["targets"][aName].at("draining").dump()
+                                                : std::string();
+    };
+    publish("extra", "ready");
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] { return stateOf("extra") == "false"; }));
+    deployment.entries[0].Signal(SIGSTOP);
+    deployment.SetFaults(deployment.StoreAddress(),
+                         { { "restore_to", { { "keyed.servers", 0 } } } });
+    publish("extra", "draining");
+    static constexpr int kRecords = 200; // More than were lost.
+    for (int i = 0; i < kRecords; ++i) {
+      publish("other", "ready");
+    }
+    deployment.entries[0].Signal(SIGCONT);
+    CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] { return stateOf("extra") == "true"; }));
+  }
+
 private:
   static bool IsDraining(const PlatformDeployment& aDeployment, int aEntry)
   {
     const json dump = harness::FetchDump(aDeployment.EntryIp(aEntry) + ":7001");
     return dump.at("targets").at("engine-1").at("draining").get<bool>();
   }
+
+  static json EvacuatedDomains(const PlatformDeployment& aDeployment, int aEntry)
+  {
+    const json dump = harness::FetchDump(aDeployment.EntryIp(aEntry) + ":7001");
+    return dump.at("evacuated").at("domains");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPathTest);
--- a/test/CoordinationTest.cpp
+++ b/test/CoordinationTest.cpp
@@ -460,7 +460,7 @@
       const Instant now{ std::chrono::hours(1) };
       std::uint64_t offset = 1;
       std::uint64_t neighbourOffset = 1;
-      history.Record(offset, reader.Targets());
+      history.Record({ 1, offset }, reader.Targets());
       int missed = 0;
       const int reads = *rc::gen::inRange(1, 20);
       for (int read = 0; read < reads; ++read) {
@@ -472,16 +472,16 @@
           reader.Apply({ target.instance, isRemoved ? std::nullopt : std::optional(target) }, now);
           ++offset;
         }
-        history.Record(offset, reader.Targets());
+        history.Record({ 1, offset }, reader.Targets());
         const RegistrationReport report = history.MakeReport();
         missed = missed < 1 && *rc::gen::arbitrary<bool>() ? missed + 1 : 0;
         if (missed == 0) {
-          RC_ASSERT(Continues(report, neighbourOffset));
+          RC_ASSERT(Continues(report, { 1, neighbourOffset }));
           neighbour.Adopt(report.changed, report.removed, now, now);
-          neighbourOffset = report.nextOffset;
+          neighbourOffset = report.next.offset;
           RC_ASSERT(neighbour.Targets() == reader.Targets());
           RC_ASSERT(DigestOf(neighbour.Targets()) == report.digest);
-          RC_ASSERT(!Continues({ .fromOffset = 0, .nextOffset = offset - 1 }, neighbourOffset));
+          RC_ASSERT(!Continues({ .next = { 1, offset - 1 } }, { 1, neighbourOffset }));
         }
       }
     });
@@ -498,10 +498,10 @@
     target.draining = true;
     RegistrationHistory history;
     for (std::uint64_t offset = 5; offset < 8; ++offset) {
-      history.Record(offset, { { target.instance, target } });
+      history.Record({ 1, offset }, { { target.instance, target } });
     }
     const RegistrationReport report = history.MakeReport();
-    CPPUNIT_ASSERT(Continues(report, 6));
+    CPPUNIT_ASSERT(Continues(report, { 1, 6 }));
     neighbour.Adopt(report.changed, report.removed, now, now);
     CPPUNIT_ASSERT(!neighbour.Targets().at("engine-1").draining);
     CPPUNIT_ASSERT(DigestOf(neighbour.Targets()) != report.digest);
--- a/test/EvacuationTest.cpp
+++ b/test/EvacuationTest.cpp
@@ -110,7 +110,7 @@
 EvacuationRead
 Evacuate(const std::string& aDomain, std::uint64_t aOffset, bool aIsEvacuated = true)
 {
-  return { .changes = { { aDomain, aIsEvacuated } }, .offset = aOffset };
+  return { .changes = { { aDomain, aIsEvacuated } }, .position = { 1, aOffset } };
 }
 
 class EvacuationTest : public CppUnit::TestFixture
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(RetriesAndReservationsLeaveTheDomain);
   CPPUNIT_TEST(CallersAreRefusedAtOnceWhenEveryDomainIsEvacuated);
   CPPUNIT_TEST(DomainWithoutTheStoreLearnsFromAnother);
+  CPPUNIT_TEST(LaterEraWinsWhateverItsOffset);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -143,7 +144,7 @@
       std::vector<EvacuationView> views(1);
       for (std::size_t i = 0; i < flips.size(); ++i) {
         EvacuationView next = views.back();
-        next.offset = i + 1;
+        next.position = { 1 + i / 4, i % 4 + 1 };
         const std::string domain = i % 2 == 0 ? "hobart" : "burnie";
         flips[i] ? (void)next.domains.insert(domain) : (void)next.domains.erase(domain);
         views.push_back(next);
@@ -156,7 +157,7 @@
         if (*rc::gen::arbitrary<bool>() || at < from) {
           known.Adopt(views[at]); // A peer, or a listing.
         } else {
-          EvacuationRead read{ .offset = at }; // Records that follow each other.
+          EvacuationRead read{ .position = views[at].position }; // Records that follow each other.
           for (std::size_t i = from; i < at; ++i) {
             read.changes.push_back({ i % 2 == 0 ? "hobart" : "burnie", flips[i] });
           }
@@ -178,7 +179,8 @@
       CPPUNIT_ASSERT(entry.DomainsOf(5'000) == std::set<std::string>{ "burnie" });
     }
     // Two domains at once are told apart, and a listing without a domain revokes its evacuation.
-    entry.Step(EvacuationRead{ .isListing = true, .changes = { { "burnie", true } }, .offset = 9 });
+    entry.Step(
+      EvacuationRead{ .isListing = true, .changes = { { "burnie", true } }, .position = { 1, 9 } });
     CPPUNIT_ASSERT(entry.DomainsOf(5'000) == std::set<std::string>{ "hobart" });
     // An old response of the store changes nothing; a newer record does.
     entry.Step(Evacuate("hobart", 5));
@@ -221,6 +223,22 @@
     CPPUNIT_ASSERT(entry.responses.back().retryAfter.has_value());
   }
 
+  // Guards against entries that ignore the operators for good after the store was restored from an
+  // older copy, as they know a higher offset of before.
+  void LaterEraWinsWhateverItsOffset()
+  {
+    Entry entry;
+    entry.Step(Evacuate("hobart", 8));
+    entry.Step(Evacuate("hobart", 9, false));
+    entry.Step(EvacuationRead{ .isListing = true, .position = { 2, 3 } });
+    entry.Step(EvacuationRead{ .changes = { { "burnie", true } }, .position = { 2, 4 } });
+    CPPUNIT_ASSERT(entry.DomainsOf(5'000) == std::set<std::string>{ "hobart" });
+    // Neither a late response nor the report of an entry that has not seen the restore undoes it.
+    entry.Step(Evacuate("hobart", 10));
+    entry.Step(PeerEvacuationReport{ "10.0.0.2:1", { { 1, 11 }, { "hobart" } } });
+    CPPUNIT_ASSERT(entry.DomainsOf(5'000) == std::set<std::string>{ "hobart" });
+  }
+
   // The store turns all entries of a domain away while it serves the operators.
   void DomainWithoutTheStoreLearnsFromAnother()
   {
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -102,7 +102,7 @@
 {
   RegistrationView view;
   ReadSchedule schedule;
-  std::uint64_t nextOffset = 0;
+  TopicPosition next;
   Instant retryAt;
   Instant expireAt;
 
@@ -248,10 +248,10 @@
     }
     entry.view.RecordReadEnd(ReadOutcome::Served, this->now);
     entry.view.ApplyRead(this->topic.ReadListing(), this->now);
-    entry.nextOffset = this->topic.End();
+    entry.next = { 1, this->topic.End() };
     entry.schedule.RecordKnown(entry.readStartedAt);
     ScheduleFinalRead(entry);
-    const RegistrationReport report = entry.view.MakeReport(entry.nextOffset, this->now);
+    const RegistrationReport report = entry.view.MakeReport(entry.next, this->now);
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
       if (i != aIndex) {
         this->Deliver(report, entry.readStartedAt, *this->entries[i]);
@@ -261,10 +261,10 @@
 
   void Deliver(const RegistrationReport& aReport, Instant aAsOf, Entry& aNeighbour)
   {
-    if (!Continues(aReport, aNeighbour.nextOffset)) {
+    if (!Continues(aReport, aNeighbour.next)) {
       return;
     }
-    aNeighbour.nextOffset = aReport.nextOffset;
+    aNeighbour.next = aReport.next;
     aNeighbour.view.Accept(aReport, this->now);
     if (aNeighbour.view.Agrees(aReport)) {
       aNeighbour.schedule.RecordKnown(aAsOf);
--- a/test/WhereTest.cpp
+++ b/test/WhereTest.cpp
@@ -141,7 +141,7 @@
       this->Step(head);
     } else if (kind == 7) {
       this->Step(EvacuationRead{ .changes = { { "burnie", this->Draw(0, 1) == 1 } },
-                                 .offset = ++this->lastOffset });
+                                 .position = { 1, ++this->lastOffset } });
     } else if (kind == 10) {
       AttemptHead head{ .attempt = this->RandomStart().attempt, .status = 200 };
       head.announcement.coldRemaining = milliseconds(this->Draw(1, 300));
@@ -361,7 +361,7 @@
     const std::string remaining = entry.starts.back().instance;
     entry.targets["engine-burnie1"].draining = true;
     entry.Step(TargetsChanged{ entry.targets });
-    entry.Step(EvacuationRead{ .changes = { { "burnie", true } }, .offset = 1 });
+    entry.Step(EvacuationRead{ .changes = { { "burnie", true } }, .position = { 1, 1 } });
     said = entry.reducer.Explain(MakeRequest("/draft/", 2'000), entry.now);
     CPPUNIT_ASSERT_EQUAL(remaining, said.target->instance);
     CPPUNIT_ASSERT_EQUAL(std::string("1"), FactOf(*said.target, "running"));
--- a/test/standins/StandIn.h
+++ b/test/standins/StandIn.h
@@ -20,11 +20,15 @@
 
 inline constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 
-// Sends a JSON response. Returns false when the connection failed.
+// Sends a JSON response, with further header fields. Returns false when the connection failed.
 inline asio::awaitable<bool>
-RespondJson(HttpExchange& aExchange, int aStatus, nlohmann::json aJson)
+RespondJson(HttpExchange& aExchange,
+            int aStatus,
+            nlohmann::json aJson,
+            std::vector<Field> aFields = {})
 {
-  std::vector<Field> fields{ { "Content-Type", "application/json" } };
+  std::vector<Field> fields = std::move(aFields);
+  fields.emplace_back("Content-Type", "application/json");
   co_return co_await aExchange.Respond(aStatus, std::move(fields), MakeBody(aJson.dump()));
 }
 
--- a/test/standins/store.cpp
+++ b/test/standins/store.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's store: topics of keyed records that are read by offset or as the
-// newest record of each key. It injects outages, reads that hang, responses that do not end, and
-// responses that are lost after the append took effect.
+// newest record of each key. It injects outages, reads that hang, responses that do not end,
+// responses that are lost after the append took effect, and restores from an older copy.
 #include <map>
 #include <memory>
 #include <random>
@@ -86,6 +86,17 @@
   {
   }
 
+  // Updates the newest offset of the key of a record, which an empty value deletes.
+  void RecordNewest(std::size_t aOffset)
+  {
+    const auto [key, value] = SplitRecord(this->records[aOffset]);
+    if (value.empty()) {
+      this->newestOffsets.erase(key);
+    } else {
+      this->newestOffsets[key] = aOffset;
+    }
+  }
+
   std::vector<std::string> records;                   // By offset, without the length prefix.
   std::map<std::string, std::uint64_t> newestOffsets; // Offset by key.
   std::uint64_t bytesServed = 0;                      // Of all responses to reads.
@@ -113,6 +124,9 @@
       this->endlessTopic = json.value("endless_reads_of", "");
       this->KeepListing(json.value("old_listings_of", ""));
       this->listingPageEntries = json.value("listing_page", std::size_t{ 500 });
+      if (json.contains("restore_to")) {
+        this->Restore(json["restore_to"]);
+      }
       co_await RespondJson(aExchange, 200, nlohmann::json::object());
     } else if (path == "/counters") {
       co_await RespondJson(aExchange, 200, this->CountersJson());
@@ -148,6 +162,24 @@
     return *topic;
   }
 
+  // Returns from an older copy: keeps as many records of each topic as aEnds says, and begins a new
+  // era. Topics that aEnds does not name lose nothing.
+  void Restore(const nlohmann::json& aEnds)
+  {
+    ++this->era;
+    for (const auto& [name, end] : aEnds.items()) {
+      Topic& topic = *this->topics.at(name);
+      topic.records.resize(std::min(topic.records.size(), end.get<std::size_t>()));
+      topic.newestOffsets.clear();
+      for (std::size_t offset = 0; offset < topic.records.size(); ++offset) {
+        topic.RecordNewest(offset);
+      }
+      topic.changed.cancel();
+    }
+  }
+
+  std::vector<Field> EraField() const { return { { "Store-Era", std::to_string(this->era) } }; }
+
   // From now on, lists a topic as it is now, with an end that moves on: what a reader gets whose
   // listing was made before some records and whose end was taken after them.
   void KeepListing(const std::string& aTopic)
@@ -200,13 +232,8 @@
       const std::size_t length = DecodeBigEndian(rest.substr(0, kLengthBytes));
       const std::string record(rest.substr(kLengthBytes, length));
       rest.remove_prefix(std::min(rest.size(), kLengthBytes + length));
-      const auto [key, value] = SplitRecord(record);
-      if (value.empty()) {
-        aTopic.newestOffsets.erase(key);
-      } else {
-        aTopic.newestOffsets[key] = aTopic.records.size();
-      }
       aTopic.records.push_back(record);
+      aTopic.RecordNewest(aTopic.records.size() - 1);
       aTopic.changed.cancel();
     }
     if (std::uniform_real_distribution<double>(0, 1)(this->random) < this->lostResponseShare) {
@@ -214,7 +241,7 @@
       co_return;
     }
     const nlohmann::json response{ { "Offset", offset }, { "End", aTopic.records.size() } };
-    co_await RespondJson(aExchange, 200, response);
+    co_await RespondJson(aExchange, 200, response, this->EraField());
   }
 
   asio::awaitable<void> Read(Topic& aTopic, const HttpRequest& aRequest, HttpExchange& aExchange)
@@ -228,6 +255,11 @@
       }
       co_await aTopic.changed.async_wait(kTuple);
     }
+    if (fromOffset > aTopic.records.size()) {
+      const nlohmann::json gone{ { "First", 0 } };
+      co_await RespondJson(aExchange, 410, gone, this->EraField());
+      co_return;
+    }
     // The first record is returned whatever its size.
     const std::size_t maxBytes =
       1024 * internal::ParseNumber<std::size_t>(aRequest.Query("MaxKb")).value_or(1024);
@@ -240,7 +272,7 @@
     }
     aTopic.bytesServed += page.size();
     ++aTopic.reads;
-    co_await aExchange.Respond(200, {}, MakeBody(std::move(page)));
+    co_await aExchange.Respond(200, this->EraField(), MakeBody(std::move(page)));
   }
 
   asio::awaitable<void> ListNewest(Topic& aTopic,
@@ -259,12 +291,13 @@
                                { "MorePages", next != aOffsets.end() },
                                { "End", aTopic.records.size() } };
     aTopic.bytesServed += page.dump().size();
-    co_await RespondJson(aExchange, 200, page);
+    co_await RespondJson(aExchange, 200, page, this->EraField());
   }
 
   asio::io_context& context;
   std::map<std::string, std::unique_ptr<Topic>> topics;
   std::mt19937_64 random;
+  std::uint64_t era = 1; // Rises with each restore.
   bool outage = false;
   std::string hungTopic; // Reads of this topic hang; empty when none do.
   std::uint64_t hungReads = 0;
