--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -444,6 +444,7 @@
 {
   this->metrics.Set("configuration_version",
                     static_cast<double>(this->follower.ConfigurationVersion()));
+  this->metrics.Set("store_era", static_cast<double>(this->follower.StoreEra()));
   this->metrics.Set("requests_in_flight", static_cast<double>(this->reducer.InFlight()));
   this->metrics.Set("forward_evacuated_domains",
                     static_cast<double>(this->reducer.Evacuations().domains.size()));
--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(OddEntriesAmongTheTargetsAreSkipped);
   CPPUNIT_TEST(EvacuationAfterARestoreIsInForce);
   CPPUNIT_TEST(RecordsAtReusedOffsetsAreRead);
+  CPPUNIT_TEST(EntriesRegisterAgainAfterARestore);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -371,6 +372,19 @@
     CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] { return stateOf("extra") == "true"; }));
   }
 
+  // Guards against entries that nobody knows who starts after a restore has lost their
+  // registration.
+  void EntriesRegisterAgainAfterARestore()
+  {
+    PlatformDeployment deployment;
+    deployment.SetFaults(deployment.StoreAddress(),
+                         { { "restore_to", { { "keyed.entries", 0 } } } });
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      const auto entries = deployment.StoreKeys("keyed.entries");
+      return entries.contains("entry-1") && entries.contains("entry-2");
+    }));
+  }
+
 private:
   static bool IsDraining(const PlatformDeployment& aDeployment, int aEntry)
   {
--- a/test/harness/PlatformDeployment.cpp
+++ b/test/harness/PlatformDeployment.cpp
@@ -171,6 +171,19 @@
   return this->StoreCounters().at("bytes_served").at(aTopic).get<std::uint64_t>();
 }
 
+std::set<std::string>
+PlatformDeployment::StoreKeys(const std::string& aTopic) const
+{
+  const HttpReply reply =
+    SendHttpRequest(this->StoreAddress(), "GET", "/log-newest?Topic=" + aTopic + "&part=0");
+  const json listing = json::parse(reply.body);
+  std::set<std::string> keys;
+  for (const json& entry : listing.at("Entries")) {
+    keys.insert(entry.at("Key").get<std::string>());
+  }
+  return keys;
+}
+
 std::uint64_t
 PlatformDeployment::StoreReads(const std::string& aTopic) const
 {
--- a/test/harness/PlatformDeployment.h
+++ b/test/harness/PlatformDeployment.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,9 @@
   // Returns the number of reads of a topic of the store, without listings.
   std::uint64_t StoreReads(const std::string& aTopic) const;
 
+  // Returns the keys that a topic of the store has a record of.
+  std::set<std::string> StoreKeys(const std::string& aTopic) const;
+
   // Replaces the fault injection settings of a stand-in.
   void SetFaults(const std::string& aAddress, const nlohmann::json& aFaults);
 
