--- a/include/sycamorepost/forward/sharing/RegistrationView.h
+++ b/include/sycamorepost/forward/sharing/RegistrationView.h
@@ -43,6 +43,10 @@
   void RecordReadStarted();
   void RecordReadEnd(ReadOutcome aOutcome, Instant aNow);
 
+  // Records that the store was restored from an older copy: registrations that it lacks were lost,
+  // as in an outage, and their targets register again.
+  void RecordRestore(Instant aNow) { this->directory.RecordStoreUnreachable(aNow); }
+
   // Applies what a read has returned; returns whether the set of usable targets changed.
   bool ApplyRead(const RegistrationRead& aRead, Instant aNow);
 
--- a/src/core/forward/ForwardImpl.h
+++ b/src/core/forward/ForwardImpl.h
@@ -348,6 +348,7 @@
   void LogCold(const std::string& aInstance, const char* aSource);
   nlohmann::json DumpCold(Instant aNow) const;
   void AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer);
+  void ExpireEvacuations();
   void LogEvacuations(const std::set<std::string>& aBefore, const std::string& aSource);
   std::uint32_t AbortCount(std::uint64_t aFingerprint, Instant aNow) const;
   void AddAbort(std::uint64_t aFingerprint);
--- a/src/core/forward/ForwardReducer.cpp
+++ b/src/core/forward/ForwardReducer.cpp
@@ -300,6 +300,7 @@
   if (this->now >= this->housekeepingAt) {
     this->housekeepingAt = this->now + kHousekeepingInterval;
     this->RemoveUnresponsivePeers();
+    this->ExpireEvacuations();
     this->notices.Expire(this->targets, this->now);
     this->coldShares.Expire(this->targets, this->now);
     std::erase_if(this->aborts,
@@ -558,7 +559,7 @@
 {
   nlohmann::json dump;
   dump["configuration"] = this->table ? this->table->version : 0;
-  dump["evacuated"] = { { "domains", this->evacuated.View().domains },
+  dump["evacuated"] = { { "domains", this->evacuated.Domains() },
                         { "as_of", ToString(this->evacuated.View().position) } };
   dump["cold_shares"] = this->DumpCold(aNow);
   for (const auto& [instance, target] : this->targets) {
--- a/src/core/forward/targets/ForwardEvacuation.cpp
+++ b/src/core/forward/targets/ForwardEvacuation.cpp
@@ -6,8 +6,8 @@
 void
 ForwardReducer::Impl::OnEvent(const EvacuationRead& aRead)
 {
-  const std::set<std::string> before = this->evacuated.View().domains;
-  if (this->evacuated.ApplyRead(aRead)) {
+  const std::set<std::string> before = this->evacuated.Domains();
+  if (this->evacuated.ApplyRead(aRead, this->now)) {
     this->LogEvacuations(before, "the store");
   }
 }
@@ -21,32 +21,43 @@
 void
 ForwardReducer::Impl::AdoptEvacuations(const EvacuationView& aView, const std::string& aPeer)
 {
-  const std::set<std::string> before = this->evacuated.View().domains;
-  if (this->evacuated.Adopt(aView)) {
+  const std::set<std::string> before = this->evacuated.Domains();
+  if (this->evacuated.Adopt(aView, this->now)) {
     this->LogEvacuations(before, aPeer);
   }
 }
 
+void
+ForwardReducer::Impl::ExpireEvacuations()
+{
+  const std::set<std::string> before = this->evacuated.Domains();
+  if (this->evacuated.Expire(this->now)) {
+    this->LogEvacuations(before, "the end of its grace period after a restore");
+  }
+}
+
 void
 ForwardReducer::Impl::LogEvacuations(const std::set<std::string>& aBefore,
                                      const std::string& aSource)
 {
-  const EvacuationView& view = this->evacuated.View();
+  const std::set<std::string> after = this->evacuated.Domains();
   const auto log = [&](const char* aDecision, const std::string& aDomain) {
     this->Count("forward_evacuations", aDecision);
-    this->effects.emplace_back(LogDecision{
-      aDecision,
-      "",
-      { { "domain", aDomain }, { "source", aSource }, { "as_of", ToString(view.position) } },
-      true });
+    this->effects.emplace_back(
+      LogDecision{ aDecision,
+                   "",
+                   { { "domain", aDomain },
+                     { "source", aSource },
+                     { "as_of", ToString(this->evacuated.View().position) } },
+                   true });
   };
-  for (const std::string& domain : view.domains) {
+  for (const std::string& domain : after) {
     if (!aBefore.contains(domain)) {
       log("domain-evacuated", domain);
     }
   }
   for (const std::string& domain : aBefore) {
-    if (!view.domains.contains(domain)) {
+    if (!after.contains(domain)) {
       log("evacuation-revoked", domain);
     }
   }
--- a/test/EvacuationTest.cpp
+++ b/test/EvacuationTest.cpp
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(CallersAreRefusedAtOnceWhenEveryDomainIsEvacuated);
   CPPUNIT_TEST(DomainWithoutTheStoreLearnsFromAnother);
   CPPUNIT_TEST(LaterEraWinsWhateverItsOffset);
+  CPPUNIT_TEST(RestoreThatLosesAnEvacuationKeepsItForAWhile);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,13 +156,13 @@
            *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 9))) {
         const std::size_t from = *rc::gen::inRange<std::size_t>(0, newest + 1);
         if (*rc::gen::arbitrary<bool>() || at < from) {
-          known.Adopt(views[at]); // A peer, or a listing.
+          known.Adopt(views[at], Instant()); // A peer, or a listing.
         } else {
           EvacuationRead read{ .position = views[at].position }; // Records that follow each other.
           for (std::size_t i = from; i < at; ++i) {
             read.changes.push_back({ i % 2 == 0 ? "hobart" : "burnie", flips[i] });
           }
-          known.ApplyRead(read);
+          known.ApplyRead(read, Instant());
         }
         newest = std::max<std::uint64_t>(newest, at);
         RC_ASSERT(known.View() == views[newest]);
@@ -239,6 +240,33 @@
     CPPUNIT_ASSERT(entry.DomainsOf(5'000) == std::set<std::string>{ "hobart" });
   }
 
+  // Guards against work for a domain whose evacuation was acknowledged before the restore and is
+  // not written again yet.
+  void RestoreThatLosesAnEvacuationKeepsItForAWhile()
+  {
+    const EvacuationRead restored{ .isListing = true, .position = { 2, 3 } };
+    const auto rewrite = [](bool aIsEvacuated) {
+      return EvacuationRead{ .changes = { { "hobart", aIsEvacuated } }, .position = { 2, 4 } };
+    };
+    // The prompt is so long that it uses both domains when it may.
+    const auto isUsed = [&](std::optional<bool> aRewrite, milliseconds aDelay) {
+      Entry entry;
+      entry.Step(Evacuate("hobart", 9));
+      entry.Step(restored);
+      CPPUNIT_ASSERT(entry.reducer.Evacuations().domains.empty()); // Nobody else is told.
+      if (aRewrite) {
+        entry.Step(rewrite(*aRewrite));
+      }
+      entry.now += aDelay;
+      entry.Step(Wake{});
+      return entry.DomainsOf(250'000).contains("hobart");
+    };
+    CPPUNIT_ASSERT(!isUsed(std::nullopt, milliseconds(2'000)));
+    CPPUNIT_ASSERT(isUsed(std::nullopt, milliseconds(4'000)));
+    CPPUNIT_ASSERT(!isUsed(true, milliseconds(4'000)));
+    CPPUNIT_ASSERT(isUsed(false, milliseconds(0)));
+  }
+
   // The store turns all entries of a domain away while it serves the operators.
   void DomainWithoutTheStoreLearnsFromAnother()
   {
--- a/test/LapsedRegistrationTest.cpp
+++ b/test/LapsedRegistrationTest.cpp
@@ -295,6 +295,7 @@
   CPPUNIT_TEST(TargetsThatLapsedAreUsedUntilTheyHadTimeToRegisterAgain);
   CPPUNIT_TEST(TargetThatLeftIsNotKeptForTheTimeThatAReadHung);
   CPPUNIT_TEST(OneConnectionThatFailsIsNoOutage);
+  CPPUNIT_TEST(TargetsThatARestoreHasLostAreKept);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -462,6 +463,40 @@
     return "seed " + std::to_string(aSeed) + ", bound " + std::to_string(aBound.count()) + " ms, " +
            std::to_string(aEntries) + " entries";
   }
+
+  // Guards against the loss of all targets that registered shortly before the store was restored
+  // from an older copy: no read has failed, so their registrations look removed.
+  void TargetsThatARestoreHasLostAreKept()
+  {
+    const auto listingOf = [](const std::vector<std::string>& aInstances) {
+      RegistrationRead read{ .isListing = true };
+      for (const std::string& instance : aInstances) {
+        read.changes.push_back({ instance, RegisteredTarget{ .instance = instance } });
+      }
+      return read;
+    };
+    RegistrationView view;
+    Instant now{ std::chrono::hours(1) };
+    const auto read = [&](const RegistrationRead& aRead, bool aIsRestored) {
+      view.RecordReadStarted();
+      view.RecordReadEnd(ReadOutcome::Served, now);
+      if (aIsRestored) {
+        view.RecordRestore(now);
+      }
+      view.ApplyRead(aRead, now);
+      view.Expire(now);
+    };
+    read(listingOf({ "engine-1", "engine-2", "engine-3" }), false);
+    now += std::chrono::minutes(1);
+    read(listingOf({ "engine-1" }), true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), view.Targets().size());
+    now += std::chrono::seconds(1);
+    read(listingOf({ "engine-1", "engine-2" }), false); // One has registered again.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), view.Targets().size());
+    now += std::chrono::seconds(2);
+    read(listingOf({ "engine-1", "engine-2" }), false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), view.Targets().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LapsedRegistrationTest);
