--- a/include/sycamorepost/forward/sharing/TopicPosition.h
+++ b/include/sycamorepost/forward/sharing/TopicPosition.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace sycamorepost {
 
@@ -16,7 +17,12 @@
   std::uint64_t era = 0; // Rises with each restore; 0 when the store states none.
   std::uint64_t offset = 0;
 
-  auto operator<=>(const TopicPosition&) const = default;
+  bool operator==(const TopicPosition&) const = default;
+
+  auto operator<=>(const TopicPosition& aOther) const
+  {
+    return std::tie(this->era, this->offset) <=> std::tie(aOther.era, aOther.offset);
+  }
 };
 
 // Returns a position for the log, as "era:offset".
