--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -143,6 +142,7 @@
   Memory,      // Callers hold too much memory; status 503.
   Evicted,     // It was incomplete, and its memory was needed; status 503.
   Unused,      // The connection has sent nothing, and another one needed its place; no response.
+  Idle,        // It waited for its next request, and another one needed its place; no response.
 };
 
 // Returns the name of a refusal in the metrics.
@@ -202,6 +202,7 @@
   asio::awaitable<void> Accept();
   asio::awaitable<void> ServeConnection(tcp::socket aSocket);
   bool MakeRoomForConnection();
+  Connection* FindDisplaceable(Instant aNow) const;
   asio::awaitable<bool> AwaitRequest(Connection& aConnection);
   asio::awaitable<bool> ServeRequest(Connection& aConnection);
   asio::awaitable<ReadResult> ReadRequest(Connection& aConnection);
@@ -218,8 +219,7 @@
   std::size_t connections = 0;
   std::size_t activeRequests = 0;
   std::uint64_t lastConnection = 0;
-  std::set<beast::tcp_stream*> idleConnections;           // Connections that wait for a request.
-  std::map<std::uint64_t, Connection*> unusedConnections; // Without a request so far, by their age.
+  std::map<std::uint64_t, Connection*> openConnections; // By their age.
   bool stopping = false;
   bool closing = false;
 };
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -45,6 +45,10 @@
 // What may be buffered of a request beside its header: the limit on a chunk header.
 constexpr std::size_t kMaxChunkHeaderBytes = 8 * 1024;
 
+// A request that has not grown for this long may lose its place to a new connection. Callers that
+// are at work send their next bytes within a round trip and a retransmission.
+constexpr Duration kMinStalledTime = std::chrono::seconds(1);
+
 // A refusal for lack of memory must not hold memory itself for long.
 constexpr Duration kRefusalWriteTimeout = std::chrono::milliseconds(500);
 
@@ -59,7 +63,7 @@
 TraitsOf(HttpRefusal aRefusal)
 {
   // In the order of HttpRefusal.
-  static constexpr std::array<RefusalTraits, 9> kTraits{ {
+  static constexpr std::array<RefusalTraits, 10> kTraits{ {
     { "malformed", 400, "The request is not valid HTTP" },
     { "timeout", 408, "The request did not arrive in time." },
     { "body", 413, "The request's body is too large." },
@@ -69,6 +73,7 @@
     { "memory", 503, "Too many requests are in progress." },
     { "evicted", 503, "The request was incomplete while too many are in progress." },
     { "unused", 0, "" },
+    { "idle", 0, "" },
   } };
   return kTraits.at(static_cast<std::size_t>(aRefusal));
 }
@@ -109,12 +114,23 @@
 
 } // namespace
 
+// What a connection does.
+enum class ConnectionPhase
+{
+  Unused,  // It has not sent anything.
+  Reading, // A request arrives.
+  Serving, // A request runs, or its response is sent.
+  Idle,    // It waits for the next request.
+  Closing, // It has lost its place, or was refused one.
+};
+
 // An open connection. Its account holds what the connection itself costs, and what has arrived of
 // an incomplete request.
 struct HttpServer::Connection
 {
   Connection(tcp::socket aSocket, MemoryLedger* aLedger, std::uint64_t aNumber)
     : number(aNumber)
+    , activeAt(Now())
     , stream(std::move(aSocket))
     , account(aLedger, [this] { this->stream.cancel(); })
   {
@@ -149,7 +165,16 @@
     this->account.Release(held - std::min(held, kConnectionBytes));
   }
 
+  // Records that the connection does something else, or that bytes of its request have arrived.
+  void Enter(ConnectionPhase aPhase)
+  {
+    this->phase = aPhase;
+    this->activeAt = Now();
+  }
+
   std::uint64_t number; // Rises with each connection.
+  ConnectionPhase phase = ConnectionPhase::Unused;
+  Instant activeAt; // When it entered its phase, or a byte last arrived.
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   MemoryLedger::Account account;
@@ -336,8 +361,11 @@
   this->closing = true;
   beast::error_code error;
   this->acceptor.close(error);
-  for (beast::tcp_stream* stream : this->idleConnections) {
-    stream->cancel();
+  for (const auto& [number, connection] : this->openConnections) {
+    if (connection->phase == ConnectionPhase::Unused ||
+        connection->phase == ConnectionPhase::Idle) {
+      connection->stream.cancel();
+    }
   }
 }
 
@@ -370,40 +398,66 @@
   } else if (!connection.account.Reserve(kConnectionBytes, Now())) {
     co_await this->Refuse(connection, HttpRefusal::Memory, "");
   } else {
-    this->unusedConnections[connection.number] = &connection;
+    this->openConnections[connection.number] = &connection;
     bool keepServing = true;
     while (keepServing) {
       keepServing = co_await this->AwaitRequest(connection);
-      this->unusedConnections.erase(connection.number);
       if (keepServing) {
         ++this->activeRequests;
         keepServing = co_await this->ServeRequest(connection);
         --this->activeRequests;
+        connection.Enter(ConnectionPhase::Idle);
       }
     }
+    this->openConnections.erase(connection.number);
   }
   beast::error_code ignored;
   connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   --this->connections;
 }
 
-// Closes the oldest connection that has not sent anything. Returns whether there was one.
-// Connections that have been used are kept, as callers reuse them.
+// Takes the place of a connection that no request in progress needs. Returns whether there is one.
 bool
 HttpServer::MakeRoomForConnection()
 {
-  if (this->unusedConnections.empty()) {
+  Connection* connection = this->FindDisplaceable(Now());
+  if (!connection) {
     return false;
   }
-  const auto oldest = this->unusedConnections.begin();
-  oldest->second->stream.cancel();
-  this->unusedConnections.erase(oldest);
-  if (this->refusalHandler) {
-    this->refusalHandler(HttpRefusal::Unused);
+  // An incomplete request is refused, and counted, once its read has been cancelled.
+  if (connection->phase != ConnectionPhase::Reading && this->refusalHandler) {
+    this->refusalHandler(connection->phase == ConnectionPhase::Unused ? HttpRefusal::Unused
+                                                                      : HttpRefusal::Idle);
   }
+  connection->Enter(ConnectionPhase::Closing);
+  connection->stream.cancel();
   return true;
 }
 
+// Returns the connection that is to give up its place: the oldest one that has not sent anything,
+// else the incomplete request that has not grown for the longest time, else the connection that has
+// been idle for the longest time. Idle connections come last, as callers reuse them.
+HttpServer::Connection*
+HttpServer::FindDisplaceable(Instant aNow) const
+{
+  Connection* stalled = nullptr;
+  Connection* idle = nullptr;
+  for (const auto& [number, connection] : this->openConnections) {
+    if (connection->phase == ConnectionPhase::Unused) {
+      return connection;
+    }
+    if (connection->phase == ConnectionPhase::Reading) {
+      const bool isStalled = connection->activeAt + kMinStalledTime <= aNow;
+      if (isStalled && (!stalled || connection->activeAt < stalled->activeAt)) {
+        stalled = connection;
+      }
+    } else if (connection->phase == ConnectionPhase::Idle) {
+      idle = !idle || connection->activeAt < idle->activeAt ? connection : idle;
+    }
+  }
+  return stalled ? stalled : idle;
+}
+
 // Waits for the first byte of a request, under the idle timeout. The timeouts for the header and
 // body start with that byte.
 asio::awaitable<bool>
@@ -417,10 +471,8 @@
     co_return false;
   }
   aConnection.stream.expires_after(this->limits.idleTimeout);
-  this->idleConnections.insert(&aConnection.stream);
   const auto [error, size] =
     co_await aConnection.stream.async_read_some(buffer.prepare(kFirstReadBytes), kAsTuple);
-  this->idleConnections.erase(&aConnection.stream);
   buffer.commit(size);
   co_return !error;
 }
@@ -429,6 +481,7 @@
 HttpServer::ServeRequest(Connection& aConnection)
 {
   aConnection.account.BeginRequest(Now());
+  aConnection.Enter(ConnectionPhase::Reading);
   ReadResult result = co_await this->ReadRequest(aConnection);
   aConnection.ReleaseRequest();
   if (!result.request) {
@@ -440,6 +493,7 @@
   HttpExchange exchange(
     aConnection.stream, result.keepAlive, this->limits.writeTimeout, &this->closing);
   aConnection.stream.expires_never();
+  aConnection.Enter(ConnectionPhase::Serving);
   co_await this->handler(std::move(*result.request), exchange);
   co_return exchange.KeepAlive();
 }
@@ -491,7 +545,7 @@
     const auto [readError, size] =
       co_await aConnection.stream.async_read_some(buffer.prepare(wanted), kAsTuple);
     buffer.commit(size);
-    if (aConnection.account.IsEvicted()) {
+    if (aConnection.account.IsEvicted() || aConnection.phase == ConnectionPhase::Closing) {
       result.refusal = HttpRefusal::Evicted;
       co_return result;
     }
@@ -499,6 +553,7 @@
       error = readError == asio::error::eof ? http::error::partial_message : readError;
       break;
     }
+    aConnection.activeAt = Now();
   }
   if (error) {
     if (!IsConnectionClosed(error)) {
--- a/test/OpenClientsTest.cpp
+++ b/test/OpenClientsTest.cpp
@@ -182,6 +182,8 @@
   CPPUNIT_TEST(OpenBodiesWithLength);
   CPPUNIT_TEST(UnreadResponses);
   CPPUNIT_TEST(SilentConnections);
+  CPPUNIT_TEST(MoreOpenBodiesThanConnections);
+  CPPUNIT_TEST(IdleConnectionsAfterOneRequest);
   CPPUNIT_TEST(MemoryDoesNotAddUpOverRounds);
   CPPUNIT_TEST(OpenBodiesAtTheAdminAddress);
   CPPUNIT_TEST(OpenFramesAtThePeerAddress);
@@ -251,6 +253,21 @@
   // Guards against silent connections that keep all others out.
   void SilentConnections() { this->Play(kSilentCallers, {}); }
 
+  // Guards against small requests that never end and take all places for connections: they need so
+  // little memory that the ledger evicts none of them.
+  void MoreOpenBodiesThanConnections()
+  {
+    this->Play(kSilentCallers, { LengthHead(kKiB), "x", kKiB - 1 });
+  }
+
+  // Guards against connections that take all places after one request that costs nothing.
+  void IdleConnectionsAfterOneRequest()
+  {
+    this->Play(kSilentCallers,
+               { "GET /unknown HTTP/1.1\r\nHost: quiz.example\r\n"
+                 "X-Sycamorepost-Request-Id: open-client\r\n\r\n" });
+  }
+
   // Guards against freed memory that stays in the process in pieces too small for what comes next:
   // each round holds bodies of another size.
   void MemoryDoesNotAddUpOverRounds()
