--- a/apps/sidecar/main.cpp
+++ b/apps/sidecar/main.cpp
@@ -1,7 +1,7 @@
 // The sidecar daemon: controls all calls to one target.
 #include <gflags/gflags.h>
-#include <glog/logging.h>
 
+#include "runtime/ProcessLog.h"
 #include "runtime/SidecarDaemon.h"
 
 DEFINE_string(config, "", "Path of the TOML settings file.");
@@ -12,9 +12,8 @@
 {
   gflags::SetUsageMessage(
     "runs the sidecar of one target: sycamorepost-sidecar --config FILE [--check]");
-  FLAGS_logtostderr = true;
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  google::InitGoogleLogging(aArguments[0]);
+  const sycamorepost::ProcessLog log(aArguments[0]);
   const auto settings = sycamorepost::LoadSettings<sycamorepost::SidecarSettings>(
     FLAGS_config, sycamorepost::ParseSidecarSettings);
   if (!settings) {
--- a/src/runtime/DecisionLog.h
+++ b/src/runtime/DecisionLog.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 
+#include "runtime/LogOutput.h"
 #include "sycamorepost/forward/ForwardReducer.h"
 
 namespace sycamorepost {
@@ -23,20 +24,17 @@
   void Write(const LogDecision& aDecision, std::int64_t aUnixMs);
 
   // Writes as much of the buffer as the descriptor accepts without blocking.
-  void Flush();
+  void Flush() { this->output.Flush(); }
 
-  std::uint64_t DroppedLines() const { return this->dropped; }
-  std::size_t BufferedBytes() const { return this->buffer.size(); }
+  std::uint64_t DroppedLines() const { return this->output.DroppedLines(); }
+  std::size_t BufferedBytes() const { return this->output.BufferedBytes(); }
 
 private:
   bool ShouldLog(const LogDecision& aDecision) const;
 
   std::string process;
   std::uint32_t sampleOneIn; // One request in this many is sampled.
-  int descriptor;
-  std::string buffer;
-  std::uint64_t dropped = 0;
-  std::uint64_t reportedDropped = 0;
+  LogOutput output;
 };
 
 } // namespace sycamorepost
--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -57,9 +57,12 @@
 
 } // namespace
 
-ForwardDaemon::ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath)
+ForwardDaemon::ForwardDaemon(ForwardSettings aSettings,
+                             std::string aSettingsPath,
+                             ProcessLog& aProcessLog)
   : settings(std::move(aSettings))
   , settingsPath(std::move(aSettingsPath))
+  , processLog(aProcessLog)
   , ledger(CallerMemory(this->settings.memory))
   , incarnation(MakeIncarnation())
   , log(this->settings.name, this->settings.logSample)
@@ -430,6 +433,7 @@
     timer.expires_after(kHousekeepingInterval);
     co_await timer.async_wait(kTuple);
     this->log.Flush();
+    this->processLog.Flush();
     this->bus.CloseIdleConnections();
     const bool ready = this->pages.ready();
     if (ready != this->wasReady) {
@@ -456,7 +460,9 @@
   this->metrics.Set("peer_connections", static_cast<double>(this->bus.Connections()));
   this->metrics.Set("peer_messages_dropped", static_cast<double>(this->bus.Dropped()));
   this->metrics.Set("peer_messages_malformed", static_cast<double>(this->bus.Malformed()));
-  this->metrics.Set("log_lines_dropped", static_cast<double>(this->log.DroppedLines()));
+  this->metrics.Set(
+    "log_lines_dropped",
+    static_cast<double>(this->log.DroppedLines() + this->processLog.DroppedLines()));
   return this->metrics.Format();
 }
 
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -15,6 +15,7 @@
 #include "runtime/AdminPages.h"
 #include "runtime/DecisionLog.h"
 #include "runtime/Metrics.h"
+#include "runtime/ProcessLog.h"
 #include "runtime/Settings.h"
 #include "sycamorepost/MemoryLedger.h"
 #include "sycamorepost/forward/ForwardReducer.h"
@@ -27,7 +28,8 @@
 {
 public:
   // The settings file at aSettingsPath is read again at each SIGHUP.
-  ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath);
+  // aProcessLog must outlive the daemon.
+  ForwardDaemon(ForwardSettings aSettings, std::string aSettingsPath, ProcessLog& aProcessLog);
 
   // Runs until SIGTERM or SIGINT, then drains. Returns the exit status of the process.
   int Run();
@@ -107,6 +109,7 @@
 
   ForwardSettings settings;
   std::string settingsPath;
+  ProcessLog& processLog;
   MemoryLedger ledger; // Outlives the context, whose coroutines have accounts in it.
   asio::io_context context{ 1 };
   std::uint64_t incarnation;
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -10,6 +10,7 @@
 #include "platform/RequestCodec.h"
 #include "platform/StoreClient.h"
 #include "runtime/DecisionLog.h"
+#include "runtime/ProcessLog.h"
 #include "runtime/Settings.h"
 #include "sycamorepost/forward/request/EventStream.h"
 #include "sycamorepost/forward/request/PromptParts.h"
@@ -50,6 +51,7 @@
   CPPUNIT_TEST(TargetsDeregisteredAfterOutageAreRemovedInTime);
   CPPUNIT_TEST(EventsAreParsedForAnySplitOfInput);
   CPPUNIT_TEST(DecisionLogNeitherBlocksNorGrows);
+  CPPUNIT_TEST(ProcessLogNeitherBlocksNorEndsTheProcess);
   CPPUNIT_TEST(InvalidSettingsAreReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -338,6 +340,28 @@
     close(pipeEnds[1]);
   }
 
+  // Guards against a log collector that stands still, or ends, and stops or ends the process with
+  // it. Without the bound this test does not end.
+  void ProcessLogNeitherBlocksNorEndsTheProcess()
+  {
+    int pipeEnds[2];
+    CPPUNIT_ASSERT_EQUAL(0, pipe(pipeEnds));
+    ProcessLog log("test", pipeEnds[1]);
+    for (int i = 0; i < 5000; ++i) {
+      LOG(INFO) << "line " << i << ' ' << std::string(100, 'x');
+    }
+    CPPUNIT_ASSERT(log.DroppedLines() > 0);
+    // What was written is whole lines in their order.
+    std::string read(4096, '\0');
+    CPPUNIT_ASSERT_EQUAL(ssize_t(4096), ::read(pipeEnds[0], read.data(), read.size()));
+    CPPUNIT_ASSERT(read.find("] line 0 x") != std::string::npos);
+    CPPUNIT_ASSERT(read.find("] line 1 x") != std::string::npos);
+    log.Flush();
+    close(pipeEnds[0]);
+    LOG(INFO) << "the collector has ended";
+    close(pipeEnds[1]);
+  }
+
   void InvalidSettingsAreReported()
   {
     const std::string validSettings =
