--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -140,7 +140,7 @@
   Unparsed,    // A chunk header or a trailer does not end; status 431.
   Connections, // Too many connections are open; status 503.
   Memory,      // Callers hold too much memory; status 503.
-  Evicted,     // It was incomplete, and its memory was needed; status 503.
+  Evicted,     // It was incomplete, and its memory or its place was needed; status 503.
   Unused,      // The connection has sent nothing, and another one needed its place; no response.
   Idle,        // It waited for its next request, and another one needed its place; no response.
 };
