--- a/src/runtime/ForwardDaemon.cpp
+++ b/src/runtime/ForwardDaemon.cpp
@@ -10,6 +10,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "net/Compression.h"
 #include "platform/RequestCodec.h"
 #include "runtime/Node.h"
 #include "runtime/WherePage.h"
@@ -33,6 +34,9 @@
 constexpr std::uint64_t kFrameShare = 8;
 constexpr std::size_t kMinFrameBytes = 4 * 1024 * 1024;
 
+// The largest configuration that is accepted from a peer: as much as one page of the store.
+constexpr std::size_t kMaxConfigurationBytes = 16 * 1024 * 1024;
+
 HttpLimits
 MakeLimits(const ForwardSettings& aSettings, const CallerLimits& aLimits)
 {
@@ -326,7 +330,7 @@
   } else if (const auto* request = std::get_if<RulesRequest>(&aEnvelope.message)) {
     this->SendConfiguration(aEnvelope.from, request->version);
   } else if (const auto* response = std::get_if<RulesResponse>(&aEnvelope.message)) {
-    this->follower.AcceptPeerConfiguration(response->version, *aEnvelope.body, aEnvelope.from);
+    this->AcceptPeerConfiguration(response->version, *aEnvelope.body, aEnvelope.from);
     this->Step(PeerConfigurationReceived{ aEnvelope.from });
   }
 }
@@ -352,8 +356,26 @@
   const std::uint64_t version = this->follower.ConfigurationVersion();
   if (version > aKnownVersion) {
     this->bus.Send(aPeer, 0, EvacuationNotice{ this->reducer.Evacuations() }, nullptr);
-    this->bus.Send(aPeer, 0, RulesResponse{ version, 0 }, MakeBody(this->configuration));
+    if (!this->compressedConfiguration) {
+      this->compressedConfiguration = MakeBody(Compress(this->configuration));
+    }
+    this->bus.Send(aPeer, 0, RulesResponse{ version, 0 }, this->compressedConfiguration);
+  }
+}
+
+void
+ForwardDaemon::AcceptPeerConfiguration(std::uint64_t aVersion,
+                                       const std::string& aBody,
+                                       const std::string& aPeer)
+{
+  const bool isNewer = aVersion > this->follower.ConfigurationVersion();
+  const auto text = isNewer ? Decompress(aBody, kMaxConfigurationBytes) : std::string();
+  if (!text) {
+    LOG(WARNING) << "[forward] ignored the configuration " << aVersion << " from " << aPeer
+                 << ": it cannot be decompressed";
+    return;
   }
+  this->follower.AcceptPeerConfiguration(aVersion, *text, aPeer);
 }
 
 void
@@ -361,6 +383,7 @@
 {
   this->table = aTable;
   this->configuration = aText;
+  this->compressedConfiguration = nullptr;
   this->server.SetLimits(MakeLimits(this->settings, aTable->limits));
   this->Step(RoutesChanged{ aTable });
 }
--- a/src/runtime/ForwardDaemon.h
+++ b/src/runtime/ForwardDaemon.h
@@ -98,6 +98,9 @@
   void OnMessage(const Envelope& aEnvelope);
   void AcceptStoreReport(const StoreReport& aReport, const std::string& aPeer);
   void SendConfiguration(const std::string& aPeer, std::uint64_t aKnownVersion);
+  void AcceptPeerConfiguration(std::uint64_t aVersion,
+                               const std::string& aBody,
+                               const std::string& aPeer);
   void OnRoutes(const std::shared_ptr<const RouteTable>& aTable, const std::string& aText);
   void OnEntries(const std::map<std::string, RegisteredEntry>& aEntries);
   void WaitForSignal();
@@ -131,6 +134,7 @@
   std::map<std::uint64_t, std::shared_ptr<HttpStream>> attempts; // By attempt ID.
   std::shared_ptr<const RouteTable> table;
   std::string configuration; // The text in force, sent to peers that cannot reach the store.
+  SharedBody compressedConfiguration; // The same, as peers get it; null until one asks for it.
 };
 
 } // namespace sycamorepost
--- a/test/ConfigurationPathTest.cpp
+++ b/test/ConfigurationPathTest.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "harness/PlatformDeployment.h"
+#include "net/Compression.h"
 #include "net/PeerBus.h"
 
 namespace sycamorepost {
@@ -71,15 +72,23 @@
     this->bus.Send(this->entry, 0, RulesResponse{ aVersion, 0 }, MakeBody(aText));
   }
 
+  void RequestConfiguration() { this->bus.Send(this->entry, 0, RulesRequest{ 0 }, nullptr); }
+
   void Run(milliseconds aDuration) { this->context.run_for(aDuration); }
 
   // How often the entry has requested the configuration.
   int Requests() const { return this->requests; }
 
+  // The configuration that the entry has sent, as it was sent; empty before.
+  const std::string& Received() const { return this->received; }
+
 private:
   void OnMessage(const Envelope& aEnvelope)
   {
     this->requests += std::holds_alternative<RulesRequest>(aEnvelope.message) ? 1 : 0;
+    if (std::holds_alternative<RulesResponse>(aEnvelope.message)) {
+      this->received = *aEnvelope.body;
+    }
   }
 
   asio::io_context context{ 1 };
@@ -87,12 +96,14 @@
   std::string entry;
   PeerBus bus;
   int requests = 0;
+  std::string received;
 };
 
 class ConfigurationPathTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ConfigurationPathTest);
   CPPUNIT_TEST(ReportsOfOneVersionLeadToOneRequest);
+  CPPUNIT_TEST(PeersGetSmallCopiesOfALargeConfiguration);
   CPPUNIT_TEST(HungReadDelaysAVersionByLessThanTheBound);
   CPPUNIT_TEST(EntryThatLagsReadsOnlyTheNewestVersion);
   CPPUNIT_TEST(EndlessResponseIsAbandoned);
@@ -142,6 +153,33 @@
     CPPUNIT_ASSERT_EQUAL(2, peer.Requests());
   }
 
+  // Guards against entries whose callers wait while copies of a large configuration fill the link.
+  void PeersGetSmallCopiesOfALargeConfiguration()
+  {
+    PlatformDeployment deployment;
+    Peer peer(deployment.EntryIp(9) + ":7000", deployment.PeerAddress(1));
+    const std::string text = MakeConfigurationWithLook(2, 1'500);
+    deployment.Publish("keyed.op", "config", text);
+    CPPUNIT_ASSERT(WaitUntil(
+      kChangeBound, [&] { return deployment.SendRequest(1, "/look/x", "r1", 0).status == 200; }));
+    CPPUNIT_ASSERT(WaitUntil(kAwaitTimeout, [&] {
+      peer.RequestConfiguration();
+      peer.Run(milliseconds(100));
+      return !peer.Received().empty();
+    }));
+    CPPUNIT_ASSERT(peer.Received().size() < text.size() / 8);
+    CPPUNIT_ASSERT(Decompress(peer.Received(), text.size()) == text);
+
+    // An entry that the store does not serve takes such a copy.
+    deployment.SetFaults(deployment.StoreAddress(), { { "outage", true } });
+    peer.ReportVersion(9);
+    peer.SendConfiguration(9, Compress(MakeConfigurationWithLook(9, 1'500)));
+    CPPUNIT_ASSERT(WaitUntil(kChangeBound, [&] {
+      peer.Run(milliseconds(20));
+      return harness::FetchDump(deployment.EntryIp(1) + ":7001").value("configuration", 0U) == 9U;
+    }));
+  }
+
   // Guards against a stale entry after a partial outage: the store received a read and never
   // responded, and the entry waited for it for longer than a change may take.
   void HungReadDelaysAVersionByLessThanTheBound()
