--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -1,4 +1,7 @@
-// Tests on loopback how the HTTP client treats responses that are cut short, reset or endless.
+// Tests on loopback how the HTTP client treats responses that are malformed, cut short, reset or
+// endless.
+#include <array>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -151,10 +154,40 @@
   return outcome;
 }
 
+constexpr std::array kClients{ &FetchInto, &StreamInto };
+
+// Asserts that neither client takes the bytes of a peer for a response.
+void
+AssertNoResponse(const std::string& aBytes)
+{
+  for (const auto client : kClients) {
+    const Outcome outcome = Receive(client, { aBytes, "", Ending::Close });
+    CPPUNIT_ASSERT_MESSAGE(aBytes, outcome.reply.stage == HttpStage::Lost);
+    CPPUNIT_ASSERT_MESSAGE(aBytes, !outcome.isComplete);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aBytes, 0, outcome.reply.status);
+    CPPUNIT_ASSERT_MESSAGE(aBytes, outcome.reply.fields.empty());
+    CPPUNIT_ASSERT_MESSAGE(aBytes, !outcome.reply.reason.empty());
+  }
+}
+
+// Asserts that both clients take the bytes of a peer for a complete response.
+void
+AssertResponse(const std::string& aBytes, int aStatus, const std::string& aBody)
+{
+  for (const auto client : kClients) {
+    const Outcome outcome = Receive(client, { aBytes, "", Ending::Close });
+    CPPUNIT_ASSERT_MESSAGE(aBytes + outcome.reply.reason, outcome.isComplete);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aBytes, aStatus, outcome.reply.status);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aBytes, aBody, outcome.reply.body);
+  }
+}
+
 class HttpClientTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(HeadThatBreaksOffIsNoResponse);
+  CPPUNIT_TEST(FieldNameWithBlankOrControlByteIsNoResponse);
+  CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
   CPPUNIT_TEST(ResetWhileTheRequestIsSentIsNoEndOfTheBody);
   CPPUNIT_TEST(ResetBehindTheEndOfTheResponseIsNoEndOfTheBody);
@@ -171,7 +204,7 @@
   {
     const std::string head = "HTTP/1.1 200 OK\r\nX-Signature: 3e1b.07\r\nContent-Length: 5\r\n\r\n";
     for (std::size_t length = 0; length < head.size(); ++length) {
-      for (const auto client : { &FetchInto, &StreamInto }) {
+      for (const auto client : kClients) {
         const Outcome outcome = Receive(client, { head.substr(0, length), "", Ending::Close });
         CPPUNIT_ASSERT_MESSAGE(head.substr(0, length),
                                outcome.reply.stage == HttpStage::Lost && !outcome.isComplete);
@@ -179,6 +212,65 @@
     }
   }
 
+  // Guards against a field that is passed on under a name that is none, and against a body that is
+  // framed by another field than the peer's.
+  void FieldNameWithBlankOrControlByteIsNoResponse()
+  {
+    const auto makeResponse = [](const std::string& aLine) {
+      return "HTTP/1.1 200 OK\r\nX-Signature: 3e1b.07\r\n" + aLine +
+             "\r\nContent-Length: 4\r\n\r\nbody";
+    };
+    std::string unusable = " \t\r\n\"(),/;<=>?@[\\]{}\x7f\x80\xff";
+    for (char byte = '\0'; byte < ' '; ++byte) {
+      unusable += byte;
+    }
+    for (const char byte : unusable) {
+      for (const std::string& name : { "X" + std::string(1, byte) + "Count",
+                                       "X-Count" + std::string(1, byte),
+                                       "Content-Length" + std::string(1, byte) }) {
+        AssertNoResponse(makeResponse(name + ": 2"));
+        AssertNoResponse("HTTP/1.1 200 OK\r\n" + name + ": 2\r\n\r\nbody");
+      }
+      // The first line of the head, where it continues no other.
+      AssertNoResponse("HTTP/1.1 200 OK\r\n" + std::string(1, byte) + "X-Count: 2\r\n\r\nbody");
+    }
+    for (const char* line : { ": 2", "X-Count", "Transfer-Encoding : chunked" }) {
+      AssertNoResponse(makeResponse(line));
+    }
+    for (const char* line :
+         { "X-Count: a\tb", "X-Count:", "X-Count: \xe4", "!#$%&'*+-.^_`|~9: 2" }) {
+      AssertResponse(makeResponse(line), 200, "body");
+    }
+  }
+
+  void MalformedChunkBreaksTheBodyOff()
+  {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* chunks : { "4\r\nbody\r\n",
+                                "4\r\nbody\r\n0\r\n",
+                                "4\r\nbody0\r\n\r\n",
+                                "4\r\nbodies\r\n0\r\n\r\n",
+                                "4\r\nbody\n0\r\n\r\n",
+                                "4\nbody\r\n0\r\n\r\n",
+                                "4 \r\nbody\r\n0\r\n\r\n",
+                                "0x4\r\nbody\r\n0\r\n\r\n",
+                                "-4\r\nbody\r\n0\r\n\r\n",
+                                "+4\r\nbody\r\n0\r\n\r\n",
+                                "\r\nbody\r\n0\r\n\r\n",
+                                "10000000000000004\r\nbody\r\n0\r\n\r\n",
+                                "4\r\nbody\r\n-0\r\n\r\n",
+                                "4\r\nbody\r\n0\r\nX Count: 1\r\n\r\n",
+                                "4\r\nbody\r\n0\r\nX-Count : 1\r\n\r\n",
+                                "4\r\nbody\r\n0\r\nX-\x01: 1\r\n\r\n",
+                                "4\r\nbody\r\n0\r\n X-Count: 1\r\n\r\n",
+                                "4\r\nbody\r\n0\r\nContent-Length: 4\r\n\r\n" }) {
+      for (const auto client : kClients) {
+        const Outcome outcome = Receive(client, { head + chunks, "", Ending::Close });
+        CPPUNIT_ASSERT_MESSAGE(chunks, !outcome.isComplete);
+      }
+    }
+  }
+
   void BodyWithoutLengthIsCompleteOnlyWhenClosed()
   {
     const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody";
@@ -242,7 +334,7 @@
     const RawResponse response{ "HTTP/1.1 200 OK\r\n",
                                 "X-More: " + std::string(4000, 'x') + "\r\n",
                                 Ending::Endless };
-    for (const auto client : { &FetchInto, &StreamInto }) {
+    for (const auto client : kClients) {
       const Outcome outcome = Receive(client, response);
       CPPUNIT_ASSERT(outcome.reply.stage == HttpStage::Lost);
       CPPUNIT_ASSERT(outcome.sentBytes < kMaxBytes);
@@ -258,7 +350,7 @@
         std::string(64 * 1024, 'x'),
         Ending::Endless
       };
-      for (const auto client : { &FetchInto, &StreamInto }) {
+      for (const auto client : kClients) {
         const Outcome outcome = Receive(client, response);
         CPPUNIT_ASSERT(!outcome.isComplete);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(outcome.sentBytes), outcome.sentBytes < kMaxBytes);
