Reject responses with a status outside 100 to 599

Callers saw: an engine in trouble sent a response with status 000, and the entry passed it on with the engine's signature and body.

Cause: the HTTP parser accepts any three digits as a status, and the client took every head that the parser had accepted for a response. The reducer compares classes of statuses, and 000 is in none of those that it rejects.

Change: Fetch and HttpStream check the head against rules that the parser does not enforce, the first of which is the range of the status. A response with an invalid head counts as lost, like bytes that are no HTTP: requests that may be repeated run at another target, the others get 502 without a signature. All readers of responses use one of the two, so the rule holds for services behind a sidecar, commands to engines and the store as well.

Evidence: HttpClientTest::StatusOutsideOfHttpIsNoResponse failed before with "HTTP/1.1 000 OK" taken for a response by both clients, and MalformedResponseTest::InvalidStatusIsNotPassedOn, with real entries, failed with "Expected: 502, Actual: 0"; both pass now. In the second one, pairs of a malformed and a sound target serve idempotent requests and streams with the sound target's response, and a request that may not be repeated runs once.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 
 #include <linux/sockios.h>
@@ -40,6 +41,33 @@
   return request;
 }
 
+// A requirement for the head of a response that the parser does not check.
+struct HeadRule
+{
+  bool (*isBroken)(const http::response_header<>&);
+  const char* fault;
+};
+
+bool
+HasInvalidStatus(const http::response_header<>& aHead)
+{
+  return aHead.result_int() < 100 || aHead.result_int() > 599;
+}
+
+constexpr std::array<HeadRule, 1> kHeadRules{ {
+  { &HasInvalidStatus, "the status is not between 100 and 599" },
+} };
+
+// Returns why the head of a response is invalid; empty if it is valid.
+std::string
+FindHeadFault(const http::response_header<>& aHead)
+{
+  const auto broken = std::find_if(kHeadRules.begin(),
+                                   kHeadRules.end(),
+                                   [&](const HeadRule& aRule) { return aRule.isBroken(aHead); });
+  return broken == kHeadRules.end() ? "" : broken->fault;
+}
+
 void
 CopyHead(const http::response<http::string_body>& aMessage, HttpReply& aReply)
 {
@@ -198,6 +226,10 @@
     reply.reason = error.message();
     co_return reply;
   }
+  reply.reason = FindHeadFault(parser.get());
+  if (!reply.reason.empty()) {
+    co_return reply;
+  }
   CopyHead(parser.get(), reply);
   reply.body = std::move(parser.get().body());
   co_return reply;
@@ -256,6 +288,10 @@
     reply.reason = error.message();
     co_return reply;
   }
+  reply.reason = FindHeadFault(this->parser.get());
+  if (!reply.reason.empty()) {
+    co_return reply;
+  }
   CopyHead(this->parser.get(), reply);
   co_return reply;
 }
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -186,6 +186,7 @@
 {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(HeadThatBreaksOffIsNoResponse);
+  CPPUNIT_TEST(StatusOutsideOfHttpIsNoResponse);
   CPPUNIT_TEST(FieldNameWithBlankOrControlByteIsNoResponse);
   CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
@@ -212,6 +213,19 @@
     }
   }
 
+  // Guards against a status that a caller cannot interpret: those of HTTP are 100 to 599.
+  void StatusOutsideOfHttpIsNoResponse()
+  {
+    const std::string rest = "\r\nX-Signature: 3e1b.07\r\nContent-Length: 4\r\n\r\nbody";
+    for (const char* status :
+         { "000", "001", "099", "600", "999", "20", "2000", "-20", "+20", "2 0", "0x2", "" }) {
+      AssertNoResponse(std::string("HTTP/1.1 ") + status + " OK" + rest);
+    }
+    for (const int status : { 200, 299, 404, 500, 599 }) {
+      AssertResponse("HTTP/1.1 " + std::to_string(status) + " OK" + rest, status, "body");
+    }
+  }
+
   // Guards against a field that is passed on under a name that is none, and against a body that is
   // framed by another field than the peer's.
   void FieldNameWithBlankOrControlByteIsNoResponse()
--- a/test/MalformedResponseTest.cpp
+++ b/test/MalformedResponseTest.cpp
@@ -260,6 +260,7 @@
 class MalformedResponseTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(MalformedResponseTest);
+  CPPUNIT_TEST(InvalidStatusIsNotPassedOn);
   CPPUNIT_TEST(FieldNameWithBlankIsNotPassedOn);
   CPPUNIT_TEST(FieldNameWithControlByteIsNotPassedOn);
   CPPUNIT_TEST(MalformedChunkIsNotPassedOn);
@@ -267,6 +268,14 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void InvalidStatusIsNotPassedOn()
+  {
+    for (const char* status : { "000", "600" }) {
+      CheckCallers({ std::string("HTTP/1.1 ") + status + " X\r\n" + kSignatureLine +
+                     MakeFramedBody(MakeEvents(0)) });
+    }
+  }
+
   void FieldNameWithBlankIsNotPassedOn()
   {
     CheckCallers({ MakeSuccess("X Count: 1\r\n" + MakeFramedBody(MakeEvents(0))) });
