Skip interim responses before the response of a target

Callers saw: a target that sends 100 Continue, 102 Processing or 103 Early Hints before its response had the interim response passed on as its final one, without a body. The response behind it was lost.

Cause: for the parser a response with a 1xx status is complete with its head, and the client did not read on.

Change: the client skips interim responses until the head of the final one. What it reads of them is limited, as a peer may send them without end. A response with status 101 is rejected, as no request asks for another protocol. Fetch reads the head first, so it rejects it as soon as it arrives.

Evidence: HttpClientTest::InterimResponsesPrecedeTheResponse failed before with "Expected: 200, Actual: 100", EndlessInterimResponsesAreAbandoned took the first of them for a response, and MalformedResponseTest:: InterimResponseIsNotPassedOn failed with "Expected: 502, Actual: 103". All three pass now.

--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -245,6 +245,9 @@
 // A request in the form that Beast writes to the connection.
 using HttpWireRequest = http::request<http::span_body<const char>>;
 
+// The parser of a response.
+using HttpResponseParser = http::response_parser<http::string_body>;
+
 // How far a request got.
 enum class HttpStage
 {
@@ -287,8 +290,8 @@
 std::map<std::string, HttpTraffic>&
 FetchTraffic();
 
-// What the client buffers of a response before it is parsed, such as a chunk header or a trailer. A
-// head is limited to 8 KiB by the parser.
+// What the client buffers of a response before it is parsed, such as a chunk header or a trailer,
+// and what it reads of interim responses. A head is limited to 8 KiB by the parser.
 inline constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 
 // Sends one request over a new connection and reads the whole response.
@@ -318,7 +321,7 @@
 
   // Returns whether the response states neither a length nor chunks, so that the end of the
   // connection is the end of its body. Valid once the head has arrived.
-  bool EndsWithConnection() const { return this->parser.need_eof(); }
+  bool EndsWithConnection() const { return this->parser && this->parser->need_eof(); }
 
   // Returns whether the last read failed because nothing arrived within its timeout.
   bool TimedOut() const { return this->timedOut; }
@@ -334,7 +337,7 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
-  http::response_parser<http::string_body> parser;
+  std::optional<HttpResponseParser> parser; // Set once a head is read.
   std::shared_ptr<HttpRequestWrite> requestWrite = std::make_shared<HttpRequestWrite>();
   bool complete = false;
   bool timedOut = false;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -54,8 +54,15 @@
   return aHead.result_int() < 100 || aHead.result_int() > 599;
 }
 
-constexpr std::array<HeadRule, 1> kHeadRules{ {
+bool
+SwitchesProtocol(const http::response_header<>& aHead)
+{
+  return aHead.result() == http::status::switching_protocols;
+}
+
+constexpr std::array<HeadRule, 2> kHeadRules{ {
   { &HasInvalidStatus, "the status is not between 100 and 599" },
+  { &SwitchesProtocol, "the response switches to a protocol that was not requested" },
 } };
 
 // Returns why the head of a response is invalid; empty if it is valid.
@@ -68,6 +75,43 @@
   return broken == kHeadRules.end() ? "" : broken->fault;
 }
 
+bool
+IsInterim(const http::response_header<>& aHead)
+{
+  return aHead.result_int() / 100 == 1; // The library does not know all of them by name.
+}
+
+// How the read of a head has ended.
+struct HeadRead
+{
+  std::string fault; // Why there is no valid head; empty if there is one.
+  std::size_t bytes = 0;
+};
+
+// Reads the head of a response, and skips interim responses before it. The parser then continues
+// with the body, whose size it limits.
+asio::awaitable<HeadRead>
+ReadHead(beast::tcp_stream& aStream,
+         beast::flat_buffer& aBuffer,
+         boost::optional<std::uint64_t> aMaxBodyBytes,
+         std::optional<HttpResponseParser>& aParser)
+{
+  HeadRead read;
+  do {
+    if (read.bytes > kMaxUnparsedBytes) {
+      read.fault = "the interim responses do not end";
+      co_return read;
+    }
+    aParser.emplace();
+    aParser->body_limit(aMaxBodyBytes);
+    const auto [error, size] =
+      co_await http::async_read_header(aStream, aBuffer, *aParser, kAsTuple);
+    read.bytes += size;
+    read.fault = error ? error.message() : FindHeadFault(aParser->get());
+  } while (read.fault.empty() && IsInterim(aParser->get()));
+  co_return read;
+}
+
 void
 CopyHead(const http::response<http::string_body>& aMessage, HttpReply& aReply)
 {
@@ -214,11 +258,16 @@
     co_return reply;
   }
   beast::flat_buffer buffer(kMaxUnparsedBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(aCall.maxBodyBytes);
-  auto [error, size] = co_await http::async_read(stream, buffer, parser, kAsTuple);
+  std::optional<HttpResponseParser> parser;
+  const HeadRead head = co_await ReadHead(stream, buffer, aCall.maxBodyBytes, parser);
+  FetchTraffic()[aCall.address].receivedBytes += head.bytes;
+  if (!head.fault.empty()) {
+    reply.reason = head.fault;
+    co_return reply;
+  }
+  auto [error, size] = co_await http::async_read(stream, buffer, *parser, kAsTuple);
   FetchTraffic()[aCall.address].receivedBytes += size;
-  if (!error && parser.need_eof()) {
+  if (!error && parser->need_eof()) {
     const HttpRequestWrite write{ .hasEnded = true };
     error = co_await AwaitRequestReceived(stream, write, deadline);
   }
@@ -226,12 +275,8 @@
     reply.reason = error.message();
     co_return reply;
   }
-  reply.reason = FindHeadFault(parser.get());
-  if (!reply.reason.empty()) {
-    co_return reply;
-  }
-  CopyHead(parser.get(), reply);
-  reply.body = std::move(parser.get().body());
+  CopyHead(parser->get(), reply);
+  reply.body = std::move(parser->get().body());
   co_return reply;
 }
 
@@ -257,7 +302,6 @@
 HttpStream::HttpStream(asio::any_io_executor aExecutor)
   : stream(std::move(aExecutor))
 {
-  this->parser.body_limit(boost::none);
 }
 
 asio::awaitable<HttpReply>
@@ -282,17 +326,12 @@
       *write = { true, aError };
     });
   ++FetchTraffic()[aCall.address].calls;
-  const auto [error, size] =
-    co_await http::async_read_header(this->stream, this->buffer, this->parser, kAsTuple);
-  if (error) {
-    reply.reason = error.message();
-    co_return reply;
-  }
-  reply.reason = FindHeadFault(this->parser.get());
-  if (!reply.reason.empty()) {
+  const HeadRead head = co_await ReadHead(this->stream, this->buffer, boost::none, this->parser);
+  if (!head.fault.empty()) {
+    reply.reason = head.fault;
     co_return reply;
   }
-  CopyHead(this->parser.get(), reply);
+  CopyHead(this->parser->get(), reply);
   co_return reply;
 }
 
@@ -301,11 +340,11 @@
 {
   const Instant deadline = Now() + aTimeout;
   this->stream.expires_after(aTimeout);
-  while (!this->parser.is_done()) {
+  while (!this->parser->is_done()) {
     const auto [error, size] =
-      co_await http::async_read_some(this->stream, this->buffer, this->parser, kAsTuple);
-    std::string piece = std::move(this->parser.get().body());
-    this->parser.get().body().clear();
+      co_await http::async_read_some(this->stream, this->buffer, *this->parser, kAsTuple);
+    std::string piece = std::move(this->parser->get().body());
+    this->parser->get().body().clear();
     if (!piece.empty()) {
       co_return piece;
     }
@@ -314,7 +353,7 @@
       co_return std::nullopt;
     }
   }
-  if (this->parser.need_eof()) {
+  if (this->parser->need_eof()) {
     const beast::error_code error =
       co_await AwaitRequestReceived(this->stream, *this->requestWrite, deadline);
     if (error) {
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -187,6 +187,8 @@
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(HeadThatBreaksOffIsNoResponse);
   CPPUNIT_TEST(StatusOutsideOfHttpIsNoResponse);
+  CPPUNIT_TEST(InterimResponsesPrecedeTheResponse);
+  CPPUNIT_TEST(EndlessInterimResponsesAreAbandoned);
   CPPUNIT_TEST(FieldNameWithBlankOrControlByteIsNoResponse);
   CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
@@ -226,6 +228,41 @@
     }
   }
 
+  // Guards against an interim response that is taken for the response.
+  void InterimResponsesPrecedeTheResponse()
+  {
+    const std::string response =
+      "HTTP/1.1 200 OK\r\nX-Signature: 3e1b.07\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string processing = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const std::string& interim :
+         { std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+           std::string("HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"),
+           processing + processing + processing }) {
+      AssertResponse(interim + response, 200, "body");
+      // An interim response alone, with a part of a response or before another protocol.
+      AssertNoResponse(interim);
+      AssertNoResponse(interim + response.substr(0, response.find("\r\n\r\n")));
+      AssertNoResponse(interim + "HTTP/1.1 000 OK\r\n\r\n");
+    }
+    AssertNoResponse("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\n"
+                     "Connection: upgrade\r\n\r\n" +
+                     response);
+
+    const Outcome outcome =
+      Receive(&StreamInto, { "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" + response });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcome.reply.fields.size());
+  }
+
+  void EndlessInterimResponsesAreAbandoned()
+  {
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (const auto client : kClients) {
+      const Outcome outcome = Receive(client, { interim, interim, Ending::Endless });
+      CPPUNIT_ASSERT(outcome.reply.stage == HttpStage::Lost);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(outcome.sentBytes), outcome.sentBytes < kMaxBytes);
+    }
+  }
+
   // Guards against a field that is passed on under a name that is none, and against a body that is
   // framed by another field than the peer's.
   void FieldNameWithBlankOrControlByteIsNoResponse()
--- a/test/MalformedResponseTest.cpp
+++ b/test/MalformedResponseTest.cpp
@@ -261,6 +261,7 @@
 {
   CPPUNIT_TEST_SUITE(MalformedResponseTest);
   CPPUNIT_TEST(InvalidStatusIsNotPassedOn);
+  CPPUNIT_TEST(InterimResponseIsNotPassedOn);
   CPPUNIT_TEST(FieldNameWithBlankIsNotPassedOn);
   CPPUNIT_TEST(FieldNameWithControlByteIsNotPassedOn);
   CPPUNIT_TEST(MalformedChunkIsNotPassedOn);
@@ -276,6 +277,11 @@
     }
   }
 
+  void InterimResponseIsNotPassedOn()
+  {
+    CheckCallers({ std::string("HTTP/1.1 103 Early Hints\r\n") + kSignatureLine + "\r\n" });
+  }
+
   void FieldNameWithBlankIsNotPassedOn()
   {
     CheckCallers({ MakeSuccess("X Count: 1\r\n" + MakeFramedBody(MakeEvents(0))) });
