Reject responses with a transfer coding other than chunked

Callers saw: a target stated a transfer coding such as "gzip, chunked". The entry removed the field, as it concerns one connection only, and passed on the coded bytes as the body, with the target's signature. With "chunked, gzip" the sizes of the chunks were a part of that body.

Cause: the parser decodes chunks where it finds that coding last, and ignores all others. The client asks for none of them.

Change: a head whose Transfer-Encoding is not exactly one "chunked" is invalid, and so is any in HTTP/1.0, whose framing HTTP calls faulty.

Evidence: HttpClientTest::UnknownTransferCodingIsNoResponse failed before, and MalformedResponseTest::UnknownTransferCodingIsNotPassedOn with "Expected: 502, Actual: 200". Both pass now; chunked responses are accepted as before.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -60,9 +60,23 @@
   return aHead.result() == http::status::switching_protocols;
 }
 
-constexpr std::array<HeadRule, 2> kHeadRules{ {
+// Returns whether the head states another transfer coding than chunks, which HTTP defines from
+// version 1.1 on. No request asks for others, and its reader would not learn of them.
+bool
+HasUnknownTransferCoding(const http::response_header<>& aHead)
+{
+  const auto [first, last] = aHead.equal_range(http::field::transfer_encoding);
+  if (first == last) {
+    return false;
+  }
+  return aHead.version() < 11 || std::next(first) != last ||
+         !beast::iequals(first->value(), "chunked");
+}
+
+constexpr std::array<HeadRule, 3> kHeadRules{ {
   { &HasInvalidStatus, "the status is not between 100 and 599" },
   { &SwitchesProtocol, "the response switches to a protocol that was not requested" },
+  { &HasUnknownTransferCoding, "the transfer coding is not chunked" },
 } };
 
 // Returns why the head of a response is invalid; empty if it is valid.
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -209,6 +209,7 @@
   CPPUNIT_TEST(EndlessInterimResponsesAreAbandoned);
   CPPUNIT_TEST(FieldNameWithBlankOrControlByteIsNoResponse);
   CPPUNIT_TEST(FoldedFieldLineIsNoResponse);
+  CPPUNIT_TEST(UnknownTransferCodingIsNoResponse);
   CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
   CPPUNIT_TEST(ResetWhileTheRequestIsSentIsNoEndOfTheBody);
@@ -330,6 +331,35 @@
     }
   }
 
+  // Guards against a body that is passed on in a coding which its reader does not learn of.
+  void UnknownTransferCodingIsNoResponse()
+  {
+    const std::string chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (const char* coding : { "gzip",
+                                "gzip, chunked",
+                                "chunked, gzip",
+                                "chunked, chunked",
+                                "chunked;level=1",
+                                "chunked gzip",
+                                "\"chunked\"",
+                                "xchunked",
+                                "identity",
+                                "" }) {
+      const std::string field = std::string("Transfer-Encoding: ") + coding;
+      for (const char* version : { "HTTP/1.0", "HTTP/1.1" }) {
+        AssertNoResponse(version + std::string(" 200 OK\r\n") + field + chunks);
+      }
+      for (const char* other : { "Transfer-Encoding: chunked", "Content-Length: 4" }) {
+        AssertNoResponse("HTTP/1.1 200 OK\r\n" + field + "\r\n" + other + chunks);
+        AssertNoResponse(std::string("HTTP/1.1 200 OK\r\n") + other + "\r\n" + field + chunks);
+      }
+    }
+    // Chunks are defined from version 1.1 on, and without a length beside them.
+    AssertNoResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks);
+    AssertNoResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4" + chunks);
+    AssertResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked" + chunks, 200, "body");
+  }
+
   void MalformedChunkBreaksTheBodyOff()
   {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/test/MalformedResponseTest.cpp
+++ b/test/MalformedResponseTest.cpp
@@ -265,6 +265,7 @@
   CPPUNIT_TEST(FieldNameWithBlankIsNotPassedOn);
   CPPUNIT_TEST(FieldNameWithControlByteIsNotPassedOn);
   CPPUNIT_TEST(FoldedFieldLineIsNotPassedOn);
+  CPPUNIT_TEST(UnknownTransferCodingIsNotPassedOn);
   CPPUNIT_TEST(MalformedChunkIsNotPassedOn);
   CPPUNIT_TEST(ResetDuringUploadIsNotPassedOnAsEnd);
   CPPUNIT_TEST_SUITE_END();
@@ -299,6 +300,12 @@
                                MakeChunk("")) });
   }
 
+  void UnknownTransferCodingIsNotPassedOn()
+  {
+    CheckCallers({ MakeSuccess("Transfer-Encoding: gzip, chunked\r\n\r\n" +
+                               MakeChunk(MakeEvents(0)) + MakeChunk("")) });
+  }
+
   // The stream breaks off behind its first events, and another target continues it.
   void MalformedChunkIsNotPassedOn()
   {
