Reject responses with status 204 that announce a body

Callers saw: a target sent a response with status 204 and a body, with its length or in chunks. The entry passed on a success with the target's signature and without that body.

Cause: a response with status 204 ends with its head by definition, so the parser stops there. HTTP forbids its sender both fields.

Change: a head with status 204 and a transfer coding, or with a length other than 0, is invalid. A length of 0 is accepted as before: it contradicts nothing.

Evidence: HttpClientTest::BodyOfResponseWithoutContentIsNoResponse failed before, as both clients took the head for a complete response; it passes now, also for 204 without a body and for 304, whose length is that of another body.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -73,10 +73,22 @@
          !beast::iequals(first->value(), "chunked");
 }
 
-constexpr std::array<HeadRule, 3> kHeadRules{ {
+// Returns whether the head announces a body although its status defines that there is none, so that
+// its reader would not get it.
+bool
+HasBodyWithoutContent(const http::response_header<>& aHead)
+{
+  const auto length = aHead.find(http::field::content_length);
+  const bool hasLength = length != aHead.end() && length->value() != "0";
+  return aHead.result() == http::status::no_content &&
+         (hasLength || aHead.count(http::field::transfer_encoding) > 0);
+}
+
+constexpr std::array<HeadRule, 4> kHeadRules{ {
   { &HasInvalidStatus, "the status is not between 100 and 599" },
   { &SwitchesProtocol, "the response switches to a protocol that was not requested" },
   { &HasUnknownTransferCoding, "the transfer coding is not chunked" },
+  { &HasBodyWithoutContent, "the status defines that there is no body" },
 } };
 
 // Returns why the head of a response is invalid; empty if it is valid.
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -210,6 +210,7 @@
   CPPUNIT_TEST(FieldNameWithBlankOrControlByteIsNoResponse);
   CPPUNIT_TEST(FoldedFieldLineIsNoResponse);
   CPPUNIT_TEST(UnknownTransferCodingIsNoResponse);
+  CPPUNIT_TEST(BodyOfResponseWithoutContentIsNoResponse);
   CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
   CPPUNIT_TEST(ResetWhileTheRequestIsSentIsNoEndOfTheBody);
@@ -360,6 +361,18 @@
     AssertResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked" + chunks, 200, "body");
   }
 
+  // Guards against a success without its body: a response with status 204 has none by definition.
+  void BodyOfResponseWithoutContentIsNoResponse()
+  {
+    AssertNoResponse("HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody");
+    AssertNoResponse(
+      "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    AssertResponse("HTTP/1.1 204 No Content\r\n\r\n", 204, "");
+    AssertResponse("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204, "");
+    // The length of a body that the receiver has already.
+    AssertResponse("HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", 304, "");
+  }
+
   void MalformedChunkBreaksTheBodyOff()
   {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
