Keep the trailer of a response apart from its head

Callers saw: a service behind a sidecar sent fields in the trailer of a chunked response, and the entry passed them on as fields of the head. HTTP forbids to merge them: a trailer could state a field such as Retry-After after the body. Streams and the platform's targets were not affected, as their head is copied before the body is read.

Cause: Fetch copied the fields once the whole response had been parsed, and the parser adds those of a trailer to them.

Change: Fetch copies the head before it reads the body. Trailers are dropped, as in streams.

Evidence: HttpClientTest::TrailerFieldsAreNoHeadFields failed before with "Expected: 1, Actual: 2" fields for Fetch; it passes now.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -346,6 +346,9 @@
     reply.reason = head.fault;
     co_return reply;
   }
+  // The parser adds the fields of a trailer to those of the head.
+  HttpReply response;
+  CopyHead(parser->get(), response);
   auto [error, size] = co_await http::async_read(stream, buffer, *parser, kAsTuple);
   FetchTraffic()[aCall.address].receivedBytes += size;
   if (!error && parser->need_eof()) {
@@ -356,9 +359,8 @@
     reply.reason = error.message();
     co_return reply;
   }
-  CopyHead(parser->get(), reply);
-  reply.body = std::move(parser->get().body());
-  co_return reply;
+  response.body = std::move(parser->get().body());
+  co_return response;
 }
 
 asio::awaitable<Reachability>
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -211,6 +211,7 @@
   CPPUNIT_TEST(FoldedFieldLineIsNoResponse);
   CPPUNIT_TEST(UnknownTransferCodingIsNoResponse);
   CPPUNIT_TEST(BodyOfResponseWithoutContentIsNoResponse);
+  CPPUNIT_TEST(TrailerFieldsAreNoHeadFields);
   CPPUNIT_TEST(MalformedChunkBreaksTheBodyOff);
   CPPUNIT_TEST(BodyWithoutLengthIsCompleteOnlyWhenClosed);
   CPPUNIT_TEST(ResetWhileTheRequestIsSentIsNoEndOfTheBody);
@@ -373,6 +374,19 @@
     AssertResponse("HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", 304, "");
   }
 
+  // Guards against a field that takes effect although it came after the body.
+  void TrailerFieldsAreNoHeadFields()
+  {
+    for (const auto client : kClients) {
+      const Outcome outcome = Receive(client,
+                                      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        "4\r\nbody\r\n0\r\nX-Signature: 3e1b.07\r\n\r\n" });
+      CPPUNIT_ASSERT(outcome.isComplete);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), outcome.reply.body);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), outcome.reply.fields.size());
+    }
+  }
+
   void MalformedChunkBreaksTheBodyOff()
   {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
