Lose the run of an engine whose response has a malformed line

Callers saw: an engine behind a sidecar sent a line that is no JSON, or lacks a member, between two pieces of text. The completion ended as done, without the text from that line on. A last line without its figures ended it as done as well.

Cause: EngineClient logged the line and read on. The sidecar dropped the text behind it, whose offset did not match, and took the last line for the end of the whole response. For a malformed last line, the end was marked as done before its members were read.

Change: a line that is malformed, or whose text does not follow what was received, ends the run as lost. The sidecar then asks the engine for its state, and the entry resumes the completion elsewhere, as when a connection breaks off. Numbers have to be in their range. Empty lines and text that was sent already are accepted as before.

--- a/src/adapters/EngineClient.cpp
+++ b/src/adapters/EngineClient.cpp
@@ -1,11 +1,16 @@
 #include "adapters/EngineClient.h"
 
+#include <limits>
+#include <stdexcept>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "sycamorepost/internal/Text.h"
+
 namespace sycamorepost {
 
 namespace {
@@ -17,8 +22,53 @@
 constexpr double kSecondsPerMs = 1e-3;
 constexpr int kNoMemoryStatus = 409;
 
+// Returns a member that is a number without a sign. Throws if it is none or out of range.
+template<typename Number>
+Number
+ReadUnsigned(const nlohmann::json& aJson, const char* aName)
+{
+  const nlohmann::json& member = aJson.at(aName);
+  if (!member.is_number_unsigned() ||
+      member.get<std::uint64_t>() > std::numeric_limits<Number>::max()) {
+    throw std::out_of_range(std::string("member '") + aName + "' is no number in its range");
+  }
+  return member.get<Number>();
+}
+
+EngineEnded
+ParseEnd(std::uint64_t aRun, const nlohmann::json& aJson)
+{
+  EngineEnded ended;
+  ended.run = aRun;
+  ended.cachedTokens = ReadUnsigned<std::uint32_t>(aJson, "cached");
+  ended.prefillSeconds = aJson.at("prefill_ms").get<double>() * kSecondsPerMs;
+  ended.decodeSeconds = aJson.at("decode_ms").get<double>() * kSecondsPerMs;
+  ended.kvCache = aJson.value("kv", "");
+  ended.kind = EngineEndKind::Done;
+  return ended;
+}
+
+EngineText
+ParseText(std::uint64_t aRun, const nlohmann::json& aJson)
+{
+  EngineText text;
+  text.run = aRun;
+  text.offset = ReadUnsigned<std::uint64_t>(aJson, "o");
+  text.count = ReadUnsigned<std::uint32_t>(aJson, "n");
+  text.text = aJson.at("t").get<std::string>();
+  return text;
+}
+
 } // namespace
 
+// How far the response of a run has been read.
+struct EngineClient::RunProgress
+{
+  std::uint64_t nextOffset = 0;
+  bool isOver = false; // The last line was read, or one that cannot be understood.
+  EngineEnded ended;
+};
+
 void
 EngineClient::Run(EngineRun aRun)
 {
@@ -40,7 +90,9 @@
 asio::awaitable<EngineEnded>
 EngineClient::ReadResponse(EngineRun aRun, std::shared_ptr<HttpStream> aStream)
 {
-  EngineEnded ended;
+  RunProgress progress;
+  progress.nextOffset = aRun.resumeOffset;
+  EngineEnded& ended = progress.ended;
   ended.run = aRun.run;
   HttpCall call;
   call.address = this->address;
@@ -75,8 +127,8 @@
     while (end != std::string::npos) {
       const std::string line = buffered.substr(0, end);
       buffered.erase(0, end + 1);
-      const bool last = this->HandleLine(aRun, line, ended);
-      if (last) {
+      this->HandleLine(aRun, line, progress);
+      if (progress.isOver) {
         co_return ended;
       }
       end = buffered.find('\n');
@@ -85,33 +137,38 @@
   co_return ended;
 }
 
-// Handles one line of the response; returns true when it is the last.
-bool
-EngineClient::HandleLine(const EngineRun& aRun, const std::string& aLine, EngineEnded& aEnded)
+// Handles one line of the response. A line that is malformed, or behind which text is missing, ends
+// the run as lost: the rest would be taken for the whole response.
+void
+EngineClient::HandleLine(const EngineRun& aRun, const std::string& aLine, RunProgress& aProgress)
 {
-  if (aLine.empty() || !this->streams.contains(aRun.run)) {
-    return false;
+  if (internal::Trim(aLine).empty() || !this->streams.contains(aRun.run)) {
+    return;
   }
-  const nlohmann::json json = nlohmann::json::parse(aLine, nullptr, false);
   try {
+    const nlohmann::json json = nlohmann::json::parse(aLine);
     if (json.contains("end")) {
-      aEnded.kind = EngineEndKind::Done;
-      aEnded.cachedTokens = json.at("cached").get<std::uint32_t>();
-      aEnded.prefillSeconds = json.at("prefill_ms").get<double>() * kSecondsPerMs;
-      aEnded.decodeSeconds = json.at("decode_ms").get<double>() * kSecondsPerMs;
-      aEnded.kvCache = json.value("kv", "");
-      return true;
+      aProgress.ended = ParseEnd(aRun.run, json);
+      aProgress.isOver = true;
+      return;
+    }
+    EngineText text = ParseText(aRun.run, json);
+    const std::uint64_t next = aProgress.nextOffset;
+    // Text that was sent already may be repeated, as by an engine that does not resume.
+    const bool isRepeated = text.offset < next && text.count <= next - text.offset;
+    if (text.offset != next && !isRepeated) {
+      LOG(WARNING) << "[engine] run " << aRun.run << " sent text from offset " << text.offset
+                   << " in place of " << next;
+      aProgress.isOver = true;
+      return;
     }
-    EngineText text;
-    text.run = aRun.run;
-    text.offset = json.at("o").get<std::uint64_t>();
-    text.count = json.at("n").get<std::uint32_t>();
-    text.text = json.at("t").get<std::string>();
+    aProgress.nextOffset += isRepeated ? 0 : text.count;
     this->sink(std::move(text));
-  } catch (const nlohmann::json::exception& error) {
-    LOG(WARNING) << "[engine] ignored a malformed response line: " << error.what();
+  } catch (const std::exception& error) {
+    LOG(WARNING) << "[engine] a response line of run " << aRun.run
+                 << " is malformed: " << error.what();
+    aProgress.isOver = true;
   }
-  return false;
 }
 
 void
--- a/src/adapters/EngineClient.h
+++ b/src/adapters/EngineClient.h
@@ -26,7 +26,8 @@
   {
   }
 
-  // Starts a run. Reports its text as EngineText events and its end as one EngineEnded event.
+  // Starts a run. Reports its text as EngineText events and its end as one EngineEnded event. A run
+  // whose response is malformed or lacks text is lost.
   void Run(EngineRun aRun);
 
   // Cancels a run and stops its events. A cancel request that fails is not retried.
@@ -43,9 +44,11 @@
   void RequestLoadReport();
 
 private:
+  struct RunProgress;
+
   asio::awaitable<void> RunCompletion(EngineRun aRun, std::shared_ptr<HttpStream> aStream);
   asio::awaitable<EngineEnded> ReadResponse(EngineRun aRun, std::shared_ptr<HttpStream> aStream);
-  bool HandleLine(const EngineRun& aRun, const std::string& aLine, EngineEnded& aEnded);
+  void HandleLine(const EngineRun& aRun, const std::string& aLine, RunProgress& aProgress);
   asio::awaitable<void> SendDelete(std::string aPath);
   asio::awaitable<void> SendImport(EngineImport aImport);
   asio::awaitable<void> FetchLoadReport();
