Reject results of services with an invalid status

Callers saw: nothing so far; found while checking what reads responses. A sidecar of an earlier version passes on any status of its service, and may have recorded it as the result of a call that runs at most once. An entry would send status 000 to its caller, and 5000 would end the connection.

Cause: the entry trusts the status of a finished call.

Change: a finished call whose status is no final one of HTTP counts as failed. Calls that run at most once end with an unknown outcome, others are retried.

Evidence: EntryReducerTest::InvalidStatusOfServiceIsNotPassedOn failed before with "Expected: 503, Actual: -1" for the first of its statuses; it passes now.

--- a/src/core/EntryAttempts.cpp
+++ b/src/core/EntryAttempts.cpp
@@ -143,7 +143,9 @@
 void
 EntryReducer::Impl::FinishService(Call& aCall, const Envelope& aFrom, const Finished& aFinished)
 {
-  if (aFinished.outcome == Outcome::Done) {
+  // Other statuses are those of no final response.
+  const bool isValid = aFinished.status >= 200 && aFinished.status <= 599;
+  if (aFinished.outcome == Outcome::Done && isValid) {
     ResponseEnd end;
     end.outcome = Outcome::Done;
     end.status = aFinished.status;
@@ -152,17 +154,21 @@
     this->End(aCall, std::move(end));
     return;
   }
+  const std::string reason =
+    aFinished.outcome == Outcome::Done
+      ? "the response has the invalid status " + std::to_string(aFinished.status)
+      : aFinished.reason;
   if (aCall.IsAtMostOnce()) {
-    this->EndWithError(aCall,
-                       Outcome::Unknown,
-                       { 503,
-                         "outcome_unknown",
-                         "The call may have run: " + aFinished.reason +
-                           ". Repeat it with the same Idempotency-Key." });
+    this->EndWithError(
+      aCall,
+      Outcome::Unknown,
+      { 503,
+        "outcome_unknown",
+        "The call may have run: " + reason + ". Repeat it with the same Idempotency-Key." });
     return;
   }
   this->DropAttempt(aCall);
-  this->RetryOrFail(aCall, aFinished.reason);
+  this->RetryOrFail(aCall, reason);
 }
 
 void
--- a/test/EntryReducerTest.cpp
+++ b/test/EntryReducerTest.cpp
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(ResponsesAreCompleteInAnyOrderOfChunks);
   CPPUNIT_TEST(ChunksOfAnotherRequestOrAnOldAttemptAreDropped);
   CPPUNIT_TEST(ACorruptedResponseIsNeverDone);
+  CPPUNIT_TEST(InvalidStatusOfServiceIsNotPassedOn);
   CPPUNIT_TEST(NotRunNeedsConfirmation);
   CPPUNIT_TEST(RetriesStayWithinTheirBudget);
   CPPUNIT_TEST(LimitsApplyPerAccount);
@@ -264,6 +265,32 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown"), ToString(lost.ends.at(0).outcome));
   }
 
+  // Guards against a status from a sidecar of an earlier version, or from a result that was
+  // recorded by one.
+  void InvalidStatusOfServiceIsNotPassedOn()
+  {
+    for (const int status : { -1, 0, 99, 100, 199, 600, 5000 }) {
+      EntryFixture entry;
+      Finished finished;
+      finished.attempt = entry.StartRequest(entry.MakeBooking()).attempt;
+      finished.outcome = Outcome::Done;
+      finished.status = status;
+      entry.Receive("bookings-1:7000", finished, "body");
+      CPPUNIT_ASSERT_EQUAL(503, entry.ends.at(0).status);
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"), ToString(entry.ends.at(0).outcome));
+    }
+    for (const int status : { 200, 404, 599 }) {
+      EntryFixture entry;
+      Finished finished;
+      finished.attempt = entry.StartRequest(entry.MakeBooking()).attempt;
+      finished.outcome = Outcome::Done;
+      finished.status = status;
+      entry.Receive("bookings-1:7000", finished, "body");
+      CPPUNIT_ASSERT_EQUAL(status, entry.ends.at(0).status);
+      CPPUNIT_ASSERT_EQUAL(std::string("body"), *entry.ends.at(0).body);
+    }
+  }
+
   void RetriesStayWithinTheirBudget()
   {
     static constexpr int kRequests = 200;
