--- a/test/EngineClientTest.cpp
+++ b/test/EngineClientTest.cpp
@@ -81,8 +81,9 @@
 public:
   void WholeResponseEndsItsRun()
   {
-    for (const std::string& lines :
-         { kFirst + kSecond + kEnd, "\n\r\n" + kFirst + "\n" + kSecond + " \n" + kEnd + "more" }) {
+    const std::string plain = kFirst + kSecond + kEnd;
+    const std::string spaced = "\n\r\n" + kFirst + "\n" + kSecond + " \n" + kEnd + "more";
+    for (const std::string& lines : { plain, spaced }) {
       const RunReport report = RunWith(lines);
       CPPUNIT_ASSERT_MESSAGE(lines, report.ends.front().kind == EngineEndKind::Done);
       CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), report.ends.front().cachedTokens);
@@ -93,6 +94,9 @@
   // Guards against a response that counts as whole although a line of it was not understood.
   void MalformedLineLosesTheRun()
   {
+    const auto makeResponse = [](const std::string& aLine, const std::string& aRest) {
+      return kFirst + aLine + "\n" + aRest + kEnd;
+    };
     for (const char* line : { "HTTP/1.1 500 Internal Server Error",
                               R"({"o":4,"n":2,"t":"b)",
                               R"({"o":4,"n":2})",
@@ -104,8 +108,8 @@
                               "{\"o\":4,\"n\":2,\"t\":\"b\xff\"}",
                               "[]",
                               "null" }) {
-      AssertLost(kFirst + line + "\n" + kSecond + kEnd, "a");
-      AssertLost(kFirst + line + "\n" + kEnd, "a");
+      AssertLost(makeResponse(line, kSecond), "a");
+      AssertLost(makeResponse(line, ""), "a");
     }
   }
 
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -257,10 +257,11 @@
     const std::string response =
       "HTTP/1.1 200 OK\r\nX-Signature: 3e1b.07\r\nContent-Length: 4\r\n\r\nbody";
     const std::string processing = "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string repeated = processing + processing + processing;
     for (const std::string& interim :
          { std::string("HTTP/1.1 100 Continue\r\n\r\n"),
            std::string("HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"),
-           processing + processing + processing }) {
+           repeated }) {
       AssertResponse(interim + response, 200, "body");
       // An interim response alone, with a part of a response or before another protocol.
       AssertNoResponse(interim);
@@ -337,6 +338,12 @@
   void UnknownTransferCodingIsNoResponse()
   {
     const std::string chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    const auto makeResponse = [&](const std::string& aVersion, const std::string& aFields) {
+      return aVersion + " 200 OK\r\n" + aFields + chunks;
+    };
+    const auto joinLines = [](const std::string& aFirst, const std::string& aSecond) {
+      return aFirst + "\r\n" + aSecond;
+    };
     for (const char* coding : { "gzip",
                                 "gzip, chunked",
                                 "chunked, gzip",
@@ -349,17 +356,17 @@
                                 "" }) {
       const std::string field = std::string("Transfer-Encoding: ") + coding;
       for (const char* version : { "HTTP/1.0", "HTTP/1.1" }) {
-        AssertNoResponse(version + std::string(" 200 OK\r\n") + field + chunks);
+        AssertNoResponse(makeResponse(version, field));
       }
-      for (const char* other : { "Transfer-Encoding: chunked", "Content-Length: 4" }) {
-        AssertNoResponse("HTTP/1.1 200 OK\r\n" + field + "\r\n" + other + chunks);
-        AssertNoResponse(std::string("HTTP/1.1 200 OK\r\n") + other + "\r\n" + field + chunks);
+      for (const std::string other : { "Transfer-Encoding: chunked", "Content-Length: 4" }) {
+        AssertNoResponse(makeResponse("HTTP/1.1", joinLines(field, other)));
+        AssertNoResponse(makeResponse("HTTP/1.1", joinLines(other, field)));
       }
     }
     // Chunks are defined from version 1.1 on, and without a length beside them.
-    AssertNoResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks);
-    AssertNoResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4" + chunks);
-    AssertResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked" + chunks, 200, "body");
+    AssertNoResponse(makeResponse("HTTP/1.0", "Transfer-Encoding: chunked"));
+    AssertNoResponse(makeResponse("HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 4"));
+    AssertResponse(makeResponse("HTTP/1.1", "Transfer-Encoding: Chunked"), 200, "body");
   }
 
   // Guards against a success without its body: a response with status 204 has none by definition.
