--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -252,7 +252,7 @@
 enum class HttpStage
 {
   NotConnected, // No connection was established, so no byte was sent.
-  Lost,         // The request may have been sent, but no complete response arrived.
+  Lost,         // The request may have been sent, but no complete, valid response arrived.
   Responded,    // A response arrived; for a stream, its head.
 };
 
@@ -294,7 +294,8 @@
 // and what it reads of interim responses. A head is limited to 8 KiB.
 inline constexpr std::size_t kMaxUnparsedBytes = 256 * 1024;
 
-// Sends one request over a new connection and reads the whole response.
+// Sends one request over a new connection and reads the whole response. Interim responses before it
+// are skipped, and its trailer is dropped.
 asio::awaitable<HttpReply>
 Fetch(HttpCall aCall);
 
@@ -308,7 +309,8 @@
 public:
   explicit HttpStream(asio::any_io_executor aExecutor);
 
-  // Sends a request over a new connection and reads the status and header fields of the response.
+  // Sends a request over a new connection and reads the status and header fields of the response,
+  // without interim responses before it.
   asio::awaitable<HttpReply> Open(HttpCall aCall);
 
   // Returns the next bytes of the body; nothing at its end, on an error, or when nothing arrives
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -88,7 +89,7 @@
   { &HasInvalidStatus, "the status is not between 100 and 599" },
   { &SwitchesProtocol, "the response switches to a protocol that was not requested" },
   { &HasUnknownTransferCoding, "the transfer coding is not chunked" },
-  { &HasBodyWithoutContent, "the status defines that there is no body" },
+  { &HasBodyWithoutContent, "a response with status 204 announces a body" },
 } };
 
 // Returns why the head of a response is invalid; empty if it is valid.
