--- a/review/common-3/World.cpp
+++ b/review/common-3/World.cpp
@@ -301,13 +301,38 @@
   return Result::Ok;
 }
 
-int
-Channel::Peek(std::int64_t aTimeoutMs)
+Channel::Result
+Channel::ReadChunks(std::string& aBody, std::int64_t aTimeoutMs)
 {
-  if (this->buffer.empty()) {
-    this->ReadMore(NowMs() + aTimeoutMs);
+  const std::int64_t until = NowMs() + aTimeoutMs;
+  while (true) {
+    const std::size_t end = this->buffer.find("\r\n");
+    const std::size_t size =
+      end == std::string::npos ? 0 : std::strtoul(this->buffer.c_str(), nullptr, 16);
+    if (end == std::string::npos || this->buffer.size() < end + 2 + size + 2) {
+      const Result result = this->ReadMore(until);
+      if (result != Result::Ok) {
+        return result;
+      }
+      continue;
+    }
+    aBody += this->buffer.substr(end + 2, size);
+    this->buffer.erase(0, end + 2 + size + 2);
+    if (size == 0) {
+      return Result::Ok;
+    }
   }
-  return this->buffer.empty() ? -1 : static_cast<unsigned char>(this->buffer.front());
+}
+
+void
+Channel::TakeBody(std::size_t& aBytes, std::int64_t aTimeoutMs)
+{
+  const std::int64_t until = NowMs() + aTimeoutMs;
+  do {
+    const std::size_t taken = std::min(aBytes, this->buffer.size());
+    this->buffer.erase(0, taken);
+    aBytes -= taken;
+  } while (aBytes > 0 && this->ReadMore(until) == Result::Ok);
 }
 
 void
@@ -336,10 +361,13 @@
   return "";
 }
 
-Listener::Listener(Handler aHandler)
+Listener::Listener(Handler aHandler, bool aReadsHeadsOnly, int aReceiveBytes)
   : handler(std::move(aHandler))
 {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (aReceiveBytes > 0) {
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof(aReceiveBytes));
+  }
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof(address);
   if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
@@ -348,17 +376,17 @@
     GiveUp("cannot listen");
   }
   this->port = ntohs(address.sin_port);
-  std::thread([this, descriptor] {
+  std::thread([this, descriptor, aReadsHeadsOnly] {
     while (true) {
       const int accepted = accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
       if (accepted < 0) {
         SleepMs(10);
         continue;
       }
-      std::thread([this, accepted] {
+      std::thread([this, accepted, aReadsHeadsOnly] {
         Channel channel(accepted);
         HttpMessage request;
-        while (channel.Read(request, kServerIdleMs) == Channel::Result::Ok &&
+        while (channel.Read(request, kServerIdleMs, aReadsHeadsOnly) == Channel::Result::Ok &&
                this->handler(request, channel)) {
         }
       }).detach();
@@ -442,39 +470,35 @@
   return aChannel.Send(response);
 }
 
+void
+KeepRegistered(Store& aStore, const std::string& aId, const std::string& aService, int aPort)
+{
+  const std::int64_t bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                std::chrono::system_clock::now().time_since_epoch())
+                                .count();
+  std::thread([&aStore, aId, aService, aPort, bornMs] {
+    for (int sequence = 1;; ++sequence) {
+      aStore.Put("keyed.servers",
+                 aId,
+                 "{\"Service\":" + Quote(aService) +
+                   ",\"Address\":\"127.0.0.1:" + std::to_string(aPort) +
+                   "\",\"Zone\":\"bag-a\",\"Version\":\"v1\",\"Slots\":16,\"State\":\"ready\","
+                   "\"ColdRemainingMs\":0,\"Seq\":" +
+                   std::to_string(sequence) + ",\"born\":" + std::to_string(bornMs) + "}");
+      SleepMs(kHeartbeatMs);
+    }
+  }).detach();
+}
+
 Server::Server(Store& aStore, Record& aRecord, std::string aId, std::string aService, Work aWork)
-  : store(aStore)
-  , record(aRecord)
+  : record(aRecord)
   , id(std::move(aId))
-  , service(std::move(aService))
   , work(std::move(aWork))
-  , bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-             .count())
   , listener([this](const HttpMessage& aRequest, Channel& aChannel) {
     return this->Serve(aRequest, aChannel);
   })
 {
-  std::thread([this] {
-    while (true) {
-      this->Register();
-      SleepMs(kHeartbeatMs);
-    }
-  }).detach();
-}
-
-void
-Server::Register()
-{
-  static std::atomic<int> sSequence{ 0 };
-  this->store.Put("keyed.servers",
-                  this->id,
-                  "{\"Service\":" + Quote(this->service) +
-                    ",\"Address\":\"127.0.0.1:" + std::to_string(this->listener.Port()) +
-                    "\",\"Zone\":\"hobart\",\"Version\":\"v1\",\"Slots\":16,\"State\":\"ready\","
-                    "\"ColdRemainingMs\":0,\"Seq\":" +
-                    std::to_string(++sSequence) + ",\"born\":" + std::to_string(this->bornMs) +
-                    "}");
+  KeepRegistered(aStore, this->id, aService, this->listener.Port());
 }
 
 bool
@@ -515,6 +539,55 @@
   return this->runs;
 }
 
+LateReader::LateReader(Store& aStore, Record& aRecord, std::string aId, std::string aService)
+  : record(aRecord)
+  , id(std::move(aId))
+  , listener([this](const HttpMessage& aRequest,
+                    Channel& aChannel) { return this->Serve(aRequest, aChannel); },
+             true,
+             64 * 1024)
+{
+  KeepRegistered(aStore, this->id, aService, this->listener.Port());
+}
+
+bool
+LateReader::Serve(const HttpMessage& aRequest, Channel& aChannel)
+{
+  const std::string request = aRequest.Field("X-Sycamorepost-Request-Id");
+  const std::string echo = "X-Sycamorepost-Request-Id: " + request + "\r\n";
+  if (aRequest.Field("X-Sycamorepost-Expected-Instance") != this->id) {
+    aChannel.Send(MakeResponse("421 Misdirected Request",
+                               echo + "X-Sycamorepost-Instance-Id: " + this->id +
+                                 "\r\nX-Sycamorepost-Not-Executed: 1\r\n",
+                               ""));
+    return false;
+  }
+  std::size_t left = std::strtoul(aRequest.Field("Content-Length").c_str(), nullptr, 10);
+  const std::int64_t readsAt = NowMs() + this->pauseMs;
+  ++this->begun;
+  this->record.Line(this->id + " runs " + request + " with a body of " + std::to_string(left) +
+                    ", answers, and reads on after " + std::to_string(this->pauseMs) + " ms");
+  bool isOpen = aChannel.Send("HTTP/1.1 200 OK\r\n" + echo +
+                              "X-Sycamorepost-Response-Signature: sig-" + this->id +
+                              "\r\nContent-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n");
+  int event = 1;
+  for (; isOpen && event <= kEvents; ++event) {
+    if (NowMs() >= readsAt) {
+      aChannel.TakeBody(left, kEventMs);
+    }
+    SleepMs(kEventMs);
+    const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    isOpen = aChannel.Send(size + text + "\r\n");
+  }
+  isOpen = isOpen && aChannel.Send("0\r\n\r\n");
+  this->record.Line(this->id + (isOpen ? " has sent all events of " : " lost the channel of ") +
+                    request + "; " + std::to_string(left) + " bytes of the body were not read");
+  return false;
+}
+
 std::string
 MakeManifest(const std::vector<Route>& aRoutes, const std::vector<std::string>& aServices)
 {
@@ -543,7 +616,7 @@
 
 Entry::Entry(std::string aProgram, std::string aDirectory, int aNumber, const Store& aStore)
   : program(std::move(aProgram))
-  , name("front-hobart-" + std::to_string(aNumber))
+  , name("front-bag-a-" + std::to_string(aNumber))
   , settingsPath(aDirectory + "/" + this->name + ".toml")
   , logPath(aDirectory + "/" + this->name + ".log")
   , port(FreePort())
@@ -552,13 +625,13 @@
   const auto address = [](int aPort) { return Quote("127.0.0.1:" + std::to_string(aPort)); };
   std::ofstream settings(this->settingsPath);
   settings << "[forward]\nname = " << Quote(this->name)
-           << "\ndomain = \"hobart\"\nhttp_address = " << address(this->port)
+           << "\ndomain = \"bag-a\"\nhttp_address = " << address(this->port)
            << "\nadmin_address = " << address(this->adminPort)
            << "\npeer_address = " << address(FreePort())
            << "\nstore_address = " << Quote(aStore.Address())
            << "\ngrace = \"8s\"\ndescriptors = " << kMaxFds << "\nmemory = " << kMemoryMb
-           << "\nretry_ratio = 0.2\nleave_bound = \"2000ms\"\nchange_bound = \"2000ms\"\n"
-              "retry_slack = 102\n";
+           << "\nretry_ratio = 0.2\nleave_bound = \"3000ms\"\nchange_bound = \"3000ms\"\n"
+              "retry_slack = 128\ncold_overage = 1.5\ncold_slack = 5\n";
 }
 
 void
@@ -586,6 +659,12 @@
   }
 }
 
+void
+Entry::Stop()
+{
+  kill(this->process, SIGTERM);
+}
+
 void
 Entry::Kill()
 {
@@ -628,18 +707,6 @@
   GiveUp(this->name + " does not become ready");
 }
 
-int
-Entry::ResidentMb() const
-{
-  std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.rfind("VmRSS:", 0) == 0) {
-      return std::atoi(line.c_str() + 6) / 1024;
-    }
-  }
-  return 0;
-}
-
 std::string
 MakeRequest(const std::string& aMethod,
             const std::string& aPath,
--- a/review/common-3/World.h
+++ b/review/common-3/World.h
@@ -17,9 +17,10 @@
 
 namespace review {
 
-// The limits of the site derwent-quiznet: its sheet and its example of a manifest.
-inline constexpr int kMemoryMb = 260;
-inline constexpr int kMaxFds = 4200;
+// The limits of the site sahaj-kathmandu-grown: its sheet and its example of a manifest.
+inline constexpr int kMemoryMb = 160;
+inline constexpr int kMaxFds = 4100;
+inline constexpr std::int64_t kGraceMs = 8000;
 inline constexpr int kMaxHeaderBytes = 16384;
 inline constexpr int kMaxBodyBytes = 4194304;
 inline constexpr const char* kKey = "k3f9a71c20b84";
@@ -94,8 +95,10 @@
   bool Send(const std::string& aBytes);
   // Reads a message whose body has a length or comes in chunks. aIsHeadOnly: it has no body.
   Result Read(HttpMessage& aMessage, std::int64_t aTimeoutMs, bool aIsHeadOnly = false);
-  // Returns the next byte without taking it; -1 if there is none within the time.
-  int Peek(std::int64_t aTimeoutMs);
+  // Reads a body in chunks, behind its head, and appends it to aBody.
+  Result ReadChunks(std::string& aBody, std::int64_t aTimeoutMs);
+  // Reads what has arrived and is left of a body of aBytes, and lowers aBytes by it.
+  void TakeBody(std::size_t& aBytes, std::int64_t aTimeoutMs);
   bool IsOpen() const { return this->descriptor >= 0; }
   void Close();
 
@@ -114,7 +117,9 @@
 {
 public:
   using Handler = std::function<bool(const HttpMessage&, Channel&)>;
-  explicit Listener(Handler aHandler);
+  // With a receive buffer of aReceiveBytes, if that is not 0. aReadsHeadsOnly: the handler is
+  // called behind the head of a request and reads its body.
+  explicit Listener(Handler aHandler, bool aReadsHeadsOnly = false, int aReceiveBytes = 0);
   int Port() const { return this->port; }
 
 private:
@@ -165,19 +170,41 @@
 
 private:
   bool Serve(const HttpMessage& aRequest, Channel& aChannel);
-  void Register();
 
-  Store& store;
   Record& record;
   std::string id;
-  std::string service;
   Work work;
-  std::int64_t bornMs;
   std::mutex mutex;
   std::map<std::string, int> runs;
   Listener listener;
 };
 
+// A sound server that answers with a stream of events before it has read the body of a request, and
+// reads on later.
+class LateReader
+{
+public:
+  LateReader(Store& aStore, Record& aRecord, std::string aId, std::string aService);
+
+  static constexpr int kEvents = 30;
+  static constexpr std::int64_t kEventMs = 200;
+
+  // How long a body is not read any further.
+  std::atomic<std::int64_t> pauseMs{ 0 };
+  std::atomic<int> begun{ 0 }; // Requests of which a run began.
+
+private:
+  bool Serve(const HttpMessage& aRequest, Channel& aChannel);
+
+  Record& record;
+  std::string id;
+  Listener listener;
+};
+
+// Registers a server in the store, again at each heartbeat.
+void
+KeepRegistered(Store& aStore, const std::string& aId, const std::string& aService, int aPort);
+
 // A route of the manifest.
 struct Route
 {
@@ -202,6 +229,8 @@
   Entry& operator=(const Entry&) = delete;
 
   void Start();
+  // Sends SIGTERM.
+  void Stop();
   void Kill();
   // Returns whether the process runs; notices its end.
   bool IsRunning();
@@ -209,8 +238,6 @@
   void AwaitReady();
   // Returns the status of /readyz; 0 without an answer within a second.
   int ReadyStatus();
-  // Returns the resident memory in MB.
-  int ResidentMb() const;
   const std::string& Name() const { return this->name; }
   int Port() const { return this->port; }
 
@@ -243,11 +270,7 @@
 };
 
 [[noreturn]] void
-RunMemoryCase(const Arguments& aArguments);
-[[noreturn]] void
-RunHangCase(const Arguments& aArguments);
-[[noreturn]] void
-RunLostCase(const Arguments& aArguments);
+RunLateReadCase(const Arguments& aArguments);
 [[noreturn]] void
 RunSmuggleCase(const Arguments& aArguments);
 
--- a/review/common-3/main.cpp
+++ b/review/common-3/main.cpp
@@ -18,9 +18,7 @@
 };
 
 constexpr Case kCases[] = {
-  { "memory", review::RunMemoryCase },
-  { "hang", review::RunHangCase },
-  { "lost", review::RunLostCase },
+  { "late-read", review::RunLateReadCase },
   { "smuggle", review::RunSmuggleCase },
 };
 
