--- a/review/common-3/Cases.cpp
+++ b/review/common-3/Cases.cpp
@@ -43,10 +43,10 @@
 void
 RunLateReadCase(const Arguments& aArguments)
 {
-  constexpr int kClients = 8;
+  constexpr int kClients = 16;
   constexpr std::size_t kBodyBytes = 4'000'000;
   constexpr int kTimeoutMs = 15'000;
-  constexpr std::int64_t kPauseMs = 4000;
+  constexpr std::int64_t kPauseMs = 5400;
   Record record(aArguments.recordPath);
   Store store;
   store.Put("keyed.op",
--- a/review/common-3/World.cpp
+++ b/review/common-3/World.cpp
@@ -545,7 +545,7 @@
   , listener([this](const HttpMessage& aRequest,
                     Channel& aChannel) { return this->Serve(aRequest, aChannel); },
              true,
-             64 * 1024)
+             32 * 1024)
 {
   KeepRegistered(aStore, this->id, aService, this->listener.Port());
 }
