--- a/review/common-3/main.cpp
+++ b/review/common-3/main.cpp
@@ -1,4 +1,4 @@
-// Runs one case of the third review: case-3 CASE ENTRY_PROGRAM RECORD
+// Runs one case of the third review: case-3 CASE ENTRY_PROGRAM RECORD FOLDER
 // Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 #include "World.h"
 
@@ -30,19 +30,15 @@
   std::signal(SIGPIPE, SIG_IGN);
   // The kernel ends the entries with this process.
   alarm(115);
-  if (aCount != 4 || access(aArguments[2], X_OK) != 0) {
-    review::GiveUp("usage: case-3 CASE ENTRY_PROGRAM RECORD; the programs must be built");
+  if (aCount != 5 || access(aArguments[2], X_OK) != 0) {
+    review::GiveUp("usage: case-3 CASE ENTRY_PROGRAM RECORD FOLDER; the programs must be built");
   }
   review::Arguments arguments;
   arguments.program = aArguments[2];
   arguments.recordPath = aArguments[3];
   const char* trouble = std::getenv("TROUBLE");
   arguments.hasTrouble = !trouble || std::strcmp(trouble, "0") != 0;
-  char directory[] = "/tmp/review-3-XXXXXX";
-  if (!mkdtemp(directory)) {
-    review::GiveUp("no temporary folder");
-  }
-  arguments.directory = directory;
+  arguments.directory = aArguments[4];
   for (const Case& known : kCases) {
     if (std::strcmp(known.name, aArguments[1]) == 0) {
       known.run(arguments);
