--- a/review/common-3/Cases.cpp
+++ b/review/common-3/Cases.cpp
@@ -46,7 +46,7 @@
   constexpr int kClients = 16;
   constexpr std::size_t kBodyBytes = 4'000'000;
   constexpr int kTimeoutMs = 15'000;
-  constexpr std::int64_t kPauseMs = 5400;
+  constexpr std::int64_t kPauseMs = 5000;
   Record record(aArguments.recordPath);
   Store store;
   store.Put("keyed.op",
--- a/review/common-3/World.h
+++ b/review/common-3/World.h
@@ -186,8 +186,8 @@
 public:
   LateReader(Store& aStore, Record& aRecord, std::string aId, std::string aService);
 
-  static constexpr int kEvents = 30;
-  static constexpr std::int64_t kEventMs = 200;
+  static constexpr int kEvents = 12;
+  static constexpr std::int64_t kEventMs = 500;
 
   // How long a body is not read any further.
   std::atomic<std::int64_t> pauseMs{ 0 };
